--- /dev/null
+++ b/Libraries/LibPolicy/Permit.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <LibCore/Hash.h>
+#include <LibCore/Identifiers.h>
+#include <LibCore/Result.h>
+#include <LibCore/Time.h>
+#include <LibRouting/Route.h>
+
+#include <optional>
+#include <vector>
+
+/// Decisions on who may send which request to which backend server, and when.
+namespace Policy {
+
+enum class AttemptKind : std::uint8_t { First, Retry, Hedge };
+
+/// Asks the dispatcher of a group for the permission to send one request to one backend server.
+struct AcquireRequest {
+    Core::RequestId requestId;
+    /// The entry host that will send the request.
+    Core::HostName holder;
+    Core::PoolName pool;
+    /// The only backend server that may serve the request. Set for key-partitioned pools.
+    std::optional<Core::ServerName> owner;
+    Core::RouteName route;
+    Core::CallerName caller;
+    Routing::Priority priority { Routing::Priority::Normal };
+    Routing::RequestClass requestClass { Routing::RequestClass::NonIdempotent };
+    Core::TimePoint deadline;
+    AttemptKind kind { AttemptKind::First };
+    /// Digest of route, key, idempotency key and body; ties a request to the crashes it causes.
+    Core::Digest fingerprint;
+    /// Backend servers that earlier attempts of this request used.
+    std::vector<Core::ServerName> excluded;
+};
+
+/// The permission to have one request in flight at one backend server. Must be released exactly once.
+struct Permit {
+    Core::PermitId id;
+    Core::ServerName server;
+};
+
+enum class RefusalReason : std::uint8_t {
+    /// The queue is full or the backend servers are shedding load.
+    Overloaded,
+    /// The request would miss its deadline in the queue.
+    DeadlineUnreachable,
+    /// The request crashed backend servers before.
+    Quarantined,
+    /// No backend server of the group is in service.
+    NoServer,
+    RetryBudgetExhausted,
+    /// This host does not dispatch the group, or does not do so yet.
+    NotDispatcher,
+    Cancelled,
+};
+
+/// The request was not run. `retryAfter` is zero when resending does not help.
+struct Refusal {
+    RefusalReason reason { RefusalReason::Overloaded };
+    Core::Duration retryAfter { 0 };
+};
+
+enum class AttemptOutcome : std::uint8_t {
+    /// A whole answer came, whatever its status.
+    Answered,
+    /// The backend server shed the request and said that it did not run it.
+    Shed,
+    /// The backend server refused the fencing token.
+    FencingRefused,
+    /// No connection could be made; no byte was sent.
+    ConnectFailed,
+    /// Bytes were sent, then the connection broke.
+    ConnectionLost,
+    TimedOut,
+    /// The caller left or another attempt won.
+    Cancelled,
+    /// Nothing was sent, for a reason that says nothing about the backend server.
+    NotSent,
+};
+
+/// Gives a permit back with what was observed.
+struct ReleaseReport {
+    Core::PermitId permit;
+    AttemptOutcome outcome { AttemptOutcome::Answered };
+    /// From the first byte sent to the first byte of the answer.
+    Core::Duration latency { 0 };
+    /// Only for connection loss: a new connection to the server was refused or not answered either.
+    bool serverUnreachable { false };
+};
+
+using AcquireResult = Core::Result<Permit, Refusal>;
+
+} // namespace Policy
--- /dev/null
+++ b/Meta/test.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Builds and runs the tests. With no argument: the release variant. With `all`: also under AddressSanitizer with UBSan
+# and under ThreadSanitizer. Tests listed in KNOWN-RED.txt are printed and passed over.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+variants=("${@:-release}")
+[ "${variants[0]}" = all ] && variants=(release asan tsan)
+
+export UBSAN_OPTIONS=halt_on_error=1:print_stacktrace=1
+export TSAN_OPTIONS="halt_on_error=1:second_deadlock_stack=1:suppressions=$PWD/Meta/tsan.supp"
+for variant in "${variants[@]}"; do
+    Meta/build.sh "$variant"
+    echo "== tests, $variant"
+    if [ -f KNOWN-RED.txt ] && grep -qE '^Test' KNOWN-RED.txt; then
+        echo "Passed over, listed in KNOWN-RED.txt:"
+        grep -E '^Test' KNOWN-RED.txt
+        filter=$(awk '/^Test/ { print "!" $2 }' KNOWN-RED.txt | paste -sd: -)
+        export BOOST_TEST_RUN_FILTERS="$filter"
+    fi
+    ctest --test-dir "Build/$variant" --output-on-failure --parallel 4
+done
