--- a/Libraries/LibRouting/View.h
+++ b/Libraries/LibRouting/View.h
@@ -27,6 +27,9 @@
     std::uint32_t connections { 1 };
     bool checksFencing { false };
     ServerState state { ServerState::InService };
+    /// The view version at which the server last started, returned or turned cold. Dispatchers start its slow start
+    /// again when it rises.
+    Core::ViewVersion coldSince;
 
     bool operator==(BackendServer const&) const = default;
 };
