--- a/Libraries/LibPolicy/Permit.h
+++ b/Libraries/LibPolicy/Permit.h
@@ -14,6 +14,25 @@
 
 enum class AttemptKind : std::uint8_t { First, Retry, Hedge };
 
+/// How one attempt at a backend server ended.
+enum class AttemptOutcome : std::uint8_t {
+    /// A whole answer came, whatever its status.
+    Answered,
+    /// The backend server shed the request and said that it did not run it.
+    Shed,
+    /// The backend server refused the fencing token.
+    FencingRefused,
+    /// No connection could be made; no byte was sent.
+    ConnectFailed,
+    /// Bytes were sent, then the connection broke.
+    ConnectionLost,
+    TimedOut,
+    /// The caller left or another attempt won.
+    Cancelled,
+    /// Nothing was sent, for a reason that says nothing about the backend server.
+    NotSent,
+};
+
 /// Asks the dispatcher of a group for the permission to send one request to one backend server.
 struct AcquireRequest {
     Core::RequestId requestId;
@@ -32,12 +51,18 @@
     Core::Digest fingerprint;
     /// Backend servers that earlier attempts of this request used.
     std::vector<Core::ServerName> excluded;
+    /// How the preceding attempt ended. A retry of non-idempotent work is refused unless this proves that the request
+    /// was not run.
+    std::optional<AttemptOutcome> previousOutcome;
 };
 
 /// The permission to have one request in flight at one backend server. Must be released exactly once.
 struct Permit {
     Core::PermitId id;
     Core::ServerName server;
+    /// When set, the holder may acquire a second permit of kind `Hedge` for this request once it has waited this long
+    /// for the answer. Set only for idempotent work of any-server pools.
+    std::optional<Core::Duration> hedgeAfter;
 };
 
 enum class RefusalReason : std::uint8_t {
@@ -49,6 +74,7 @@
     Quarantined,
     /// No backend server of the group is in service.
     NoServer,
+    /// The budget for retries and hedges is used up, or the request may have run and must not be sent again.
     RetryBudgetExhausted,
     /// This host does not dispatch the group, or does not do so yet.
     NotDispatcher,
@@ -61,24 +87,6 @@
     Core::Duration retryAfter { 0 };
 };
 
-enum class AttemptOutcome : std::uint8_t {
-    /// A whole answer came, whatever its status.
-    Answered,
-    /// The backend server shed the request and said that it did not run it.
-    Shed,
-    /// The backend server refused the fencing token.
-    FencingRefused,
-    /// No connection could be made; no byte was sent.
-    ConnectFailed,
-    /// Bytes were sent, then the connection broke.
-    ConnectionLost,
-    TimedOut,
-    /// The caller left or another attempt won.
-    Cancelled,
-    /// Nothing was sent, for a reason that says nothing about the backend server.
-    NotSent,
-};
-
 /// Gives a permit back with what was observed.
 struct ReleaseReport {
     Core::PermitId permit;
