--- /dev/null
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <LibCore/Identifiers.h>
+#include <LibCore/Time.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace prometheus {
+class Registry;
+}
+
+namespace Telemetry {
+
+struct MetricsSettings {
+    /// Values per label; further names are counted as `other`.
+    std::uint32_t maxLabelValues { 256 };
+};
+
+/// Replaces label values beyond the bound.
+inline constexpr std::string_view otherLabel = "other";
+
+/// The metrics of one process, in the families of docs/metrics.md. Thread-safe.
+class Metrics {
+public:
+    explicit Metrics(MetricsSettings = {});
+    ~Metrics();
+
+    Metrics(Metrics const&) = delete;
+    Metrics& operator=(Metrics const&) = delete;
+
+    /// One request of a caller. `outcome` is `answered`, `not-run` or `unknown`; `reason` is a reason of design section
+    /// 4.3, or empty.
+    void countRequest(Core::PoolName const&, Core::RouteName const&, std::string_view outcome, std::string_view reason,
+        Core::Duration duration);
+    /// One attempt at a backend server, with the time to the first byte of the response.
+    void countAttempt(Core::PoolName const&, Core::ServerName const&, Core::FailureDomain const&,
+        std::string_view outcome, Core::Duration latency);
+    void countBytes(Core::PoolName const&, std::uint64_t fromCallers, std::uint64_t toCallers);
+
+    /// Load imbalance: highest share of capacity in use over the mean share.
+    void setLoadImbalance(Core::PoolName const&, double ratio);
+    /// Churn: slots whose owner changed. `cause` is `planned`, `loss`, `balance` or `drain`.
+    void countOwnerChanges(Core::PoolName const&, std::string_view cause, std::uint64_t slots);
+    /// Time during which slots had no owner, summed over slots.
+    void addUnservedSlotTime(Core::PoolName const&, Core::Duration);
+    void setUnassignedSlots(Core::PoolName const&, std::uint64_t);
+    void setBackendServers(
+        Core::PoolName const&, Core::FailureDomain const&, std::string_view state, std::uint64_t count);
+
+    void setViewLeaseRemaining(Core::Duration);
+    void setReady(bool);
+    void setRevision(Core::Revision applied);
+    void setInEffectRevision(Core::Revision);
+    void setRaft(std::uint64_t term, std::uint64_t commitIndex, bool isLeader, bool hasQuorum);
+    void countElection();
+    void observeCommit(Core::Duration);
+    void observeSync(Core::Duration);
+
+    void setQueueLength(Core::PoolName const&, std::uint64_t);
+    void setInFlight(Core::PoolName const&, Core::ServerName const&, std::uint64_t inFlight, std::uint64_t limit);
+    void observeQueueTime(Core::PoolName const&, Core::Duration);
+    void countShed(Core::PoolName const&, std::string_view reason);
+    void countRetry(Core::PoolName const&);
+    void countHedge(Core::PoolName const&, bool won);
+    void countEjection(Core::PoolName const&, Core::ServerName const&);
+    void setEjected(Core::PoolName const&, std::uint64_t servers);
+    void countQuarantine(Core::RouteName const&);
+    void setOrderLedger(std::uint64_t entries, std::uint64_t capacity);
+
+    void setCallerConnections(std::uint64_t);
+    void setDroppedSpans(std::uint64_t);
+
+    /// Drops the series of a backend server that left, so that replaced servers do not use up label values.
+    void forgetServer(Core::PoolName const&, Core::ServerName const&);
+
+    /// Prometheus text format, version 0.0.4.
+    std::string exposition() const;
+    static constexpr std::string_view expositionContentType = "text/plain; version=0.0.4; charset=utf-8";
+
+    std::shared_ptr<prometheus::Registry> registry() const;
+
+private:
+    struct Families;
+
+    std::unique_ptr<Families> families_;
+};
+
+} // namespace Telemetry
