Add the dispatch group and its decision rules

Permits, queues, limits, server choice, retry budget, hedging, ejection and quarantine, each rule behind an interface with a baseline.

--- /dev/null
+++ b/Libraries/LibPolicy/Decisions.cpp
@@ -0,0 +1,34 @@
+#include <LibPolicy/Decisions.h>
+#include <LibPolicy/FairQueue.h>
+#include <LibPolicy/LeastLoadedChoice.h>
+#include <LibPolicy/SlowStartLimit.h>
+
+namespace Policy {
+
+Decisions defaultDecisions(DispatchSettings const& settings)
+{
+    return {
+        .makeLimit = [limit = settings.limit] { return std::make_unique<SlowStartLimit>(limit); },
+        .makeQueue = [queue = settings.queue] { return std::make_unique<FairQueue>(queue); },
+        .choice = std::make_unique<LeastLoadedChoice>(),
+        .budget = std::make_unique<TokenRetryBudget>(settings.retry),
+        .hedge = std::make_unique<QuantileHedgeDelay>(settings.hedge),
+        .ejection = std::make_unique<StragglerEjection>(settings.ejection),
+    };
+}
+
+Decisions baselineDecisions()
+{
+    return {
+        .makeLimit = [] { return std::make_unique<SlotsLimit>(); },
+        .makeQueue = [] { return std::make_unique<FifoQueue>(); },
+        .choice = std::make_unique<RoundRobinChoice>(),
+        .budget = std::make_unique<UnlimitedRetries>(),
+        .hedge = std::make_unique<NoHedging>(),
+        .ejection = std::make_unique<NoEjection>(),
+        .stopCrashingRequests = false,
+        .refuseEarly = false,
+    };
+}
+
+} // namespace Policy
--- a/Libraries/LibPolicy/DispatchEvents.h
+++ b/Libraries/LibPolicy/DispatchEvents.h
@@ -100,6 +100,10 @@
     Core::Digest fingerprint;
     Core::ServerName server;
 };
+/// The suspect ran alone and was answered: the crash is not its fault. To be reported to the control hosts.
+struct SuspicionCleared {
+    Core::Digest fingerprint;
+};
 struct ServerEjected {
     Core::ServerName server;
     Core::TimePoint until;
@@ -109,6 +113,6 @@
     Core::ServerName server;
 };
 
-using Action = std::variant<Granted, Refused, CrashSuspected, ServerEjected, ServerReinstated>;
+using Action = std::variant<Granted, Refused, CrashSuspected, SuspicionCleared, ServerEjected, ServerReinstated>;
 
 } // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/DispatchOutcomes.cpp
@@ -0,0 +1,235 @@
+#include <LibPolicy/DispatchState.h>
+
+#include <algorithm>
+
+namespace Policy {
+
+namespace {
+    // Weight of a new sample in the average holding time.
+    constexpr std::int64_t holdTimeDivisor = 16;
+    // Weight of a new sample in a server's slowness. High, because slow phases are short.
+    constexpr double slownessWeight = 0.3;
+    // A slow request of one kind must not make a server look useless for minutes.
+    constexpr double maxSlowness = 100;
+    // Answers of servers slower than this do not shape the hedging delay: in a slow phase it must not grow.
+    constexpr double maxSlownessForHedgeDelay = 2;
+    // Per tick without work, so that an idle server that was slow is tried again within about a second.
+    constexpr double slownessDecay = 0.97;
+    constexpr Core::Duration idleBeforeDecay = std::chrono::milliseconds(50);
+    constexpr Core::Duration ejectionCheckInterval = std::chrono::milliseconds(50);
+    // After this many good answers an earlier ejection no longer lengthens the next one.
+    constexpr std::uint32_t samplesToForgive = 100;
+    // The holding time of a request is no latency sample below this multiple of the typical latency.
+    constexpr double minCensoredRatio = 1.5;
+
+    void average(Core::Duration& value, Core::Duration sample)
+    {
+        value = value.count() == 0 ? sample : value + (sample - value) / holdTimeDivisor;
+    }
+
+} // namespace
+
+void DispatchGroup::State::handle(Release const& event)
+{
+    auto const found = permits_.find(event.report.permit);
+    if (found == permits_.end()) {
+        ++counters_.unknownReleases;
+        return;
+    }
+    auto const permit = takePermit(found);
+    auto& server = servers_[permit.server];
+    learn(server, permit, event.report, server.inFlight + 1);
+    judge(permit.server, permit, event.report);
+    refresh(permit.server);
+    serve(permit.server);
+    dropIfUnused(permit.server);
+}
+
+/// Removes the permit from all counts.
+DispatchGroup::State::HeldPermit DispatchGroup::State::takePermit(
+    std::unordered_map<Core::PermitId, HeldPermit>::iterator found)
+{
+    auto const permit = found->second;
+    if (permit.countedUntil)
+        expiringPermits_.erase({ *permit.countedUntil, found->first });
+    permits_.erase(found);
+    auto& server = servers_[permit.server];
+    --server.inFlight;
+    server.lastProgress = now_;
+    if (permit.isolated) {
+        server.runsSuspect = false;
+        settleReservations();
+    }
+    return permit;
+}
+
+void DispatchGroup::State::learn(
+    Server& server, HeldPermit const& permit, ReleaseReport const& report, std::uint32_t inFlightBefore)
+{
+    auto const ran = report.outcome == AttemptOutcome::Answered || report.outcome == AttemptOutcome::TimedOut
+        || report.outcome == AttemptOutcome::Cancelled;
+    if (ran && !permit.registered) {
+        average(holdTime_, now_ - permit.grantedAt);
+        average(server.holdTime, now_ - permit.grantedAt);
+    }
+    auto const ratio = observeLatency(server, permit, report);
+    if (server.limit->observe({ now_, report.outcome, ratio, inFlightBefore }))
+        ++counters_.markedCold;
+}
+
+/// The latency of the attempt relative to the typical one.
+double DispatchGroup::State::observeLatency(Server& server, HeldPermit const& permit, ReleaseReport const& report)
+{
+    auto& route = routes_[permit.route];
+    auto ratio = 1.0;
+    if (report.outcome == AttemptOutcome::Answered) {
+        auto const latency = report.latency.count() > 0 ? report.latency : now_ - permit.grantedAt;
+        if (latency.count() <= 0)
+            return ratio;
+        ratio = route.ratio(latency);
+        route.observe(latency);
+        if (server.slowness < maxSlownessForHedgeDelay)
+            decisions_.hedge->observe(ratio);
+    } else if (!permit.registered
+        && (report.outcome == AttemptOutcome::TimedOut || report.outcome == AttemptOutcome::Cancelled)) {
+        ratio = route.ratio(now_ - permit.grantedAt);
+        if (ratio < std::max(server.slowness, minCensoredRatio))
+            return ratio;
+    } else {
+        return ratio;
+    }
+    server.slowness += slownessWeight * (std::min(ratio, maxSlowness) - server.slowness);
+    ++server.samples;
+    return ratio;
+}
+
+void DispatchGroup::State::judge(std::size_t index, HeldPermit const& permit, ReleaseReport const& report)
+{
+    auto& server = servers_[index];
+    switch (report.outcome) {
+    case AttemptOutcome::Answered:
+        server.failuresInRow = 0;
+        if (server.samples > samplesToForgive)
+            server.ejectionsInRow = 0;
+        if (permit.isolated && ledger_.isSuspect(now_, permit.fingerprint)) {
+            ledger_.clearSuspicion(permit.fingerprint);
+            actions_->emplace_back(SuspicionCleared { permit.fingerprint });
+        }
+        return;
+    case AttemptOutcome::ConnectFailed:
+        if (++server.failuresInRow >= settings_.ejection.failuresToPause && !server.ejected)
+            eject(index);
+        break;
+    case AttemptOutcome::ConnectionLost:
+        if (report.serverUnreachable)
+            recordCrash(index, permit);
+        break;
+    default:
+        return;
+    }
+    // The earlier dispatcher's permits made this server look warm; a lost connection disproves that.
+    if (permit.registered)
+        server.limit->markCold(now_);
+}
+
+void DispatchGroup::State::recordCrash(std::size_t index, HeldPermit const& permit)
+{
+    auto& server = servers_[index];
+    ++counters_.crashes;
+    server.limit->markCold(now_);
+    if (!server.ejected)
+        eject(index);
+    actions_->emplace_back(CrashSuspected { permit.fingerprint, server.name });
+    if (decisions_.stopCrashingRequests)
+        ledger_.recordCrash(now_, permit.fingerprint, server.name);
+}
+
+void DispatchGroup::State::eject(std::size_t index)
+{
+    auto& server = servers_[index];
+    auto const exponent = std::min(server.ejectionsInRow, 10U);
+    server.ejected = true;
+    server.ejectedUntil
+        = now_ + std::min(settings_.ejection.baseTime * (std::int64_t { 1 } << exponent), settings_.ejection.maxTime);
+    ++server.ejectionsInRow;
+    ++counters_.ejections;
+    if (server.reserved && !server.runsSuspect)
+        releaseReservation(index);
+    actions_->emplace_back(ServerEjected { server.name, server.ejectedUntil });
+    refresh(index);
+}
+
+void DispatchGroup::State::handle(Tick const&)
+{
+    expirePermits();
+    expireWaiting();
+    reinstateDue();
+    ledger_.expire(now_);
+    if (now_ >= nextEjectionCheck_) {
+        nextEjectionCheck_ = now_ + ejectionCheckInterval;
+        evaluateEjection();
+    }
+    for (std::size_t index = 0; index < servers_.size(); ++index) {
+        auto& server = servers_[index];
+        if (server.inFlight == 0 && now_ - server.lastProgress > idleBeforeDecay)
+            server.slowness = 1 + (server.slowness - 1) * slownessDecay;
+        refresh(index);
+        serve(index);
+    }
+}
+
+void DispatchGroup::State::reinstateDue()
+{
+    for (std::size_t index = 0; index < servers_.size(); ++index) {
+        auto& server = servers_[index];
+        if (!server.ejected || server.ejectedUntil > now_)
+            continue;
+        server.ejected = false;
+        server.slowness = 1;
+        server.samples = 0;
+        server.limit->markCold(now_);
+        actions_->emplace_back(ServerReinstated { server.name });
+        refresh(index);
+    }
+}
+
+/// Only for pools where another server can do the work: ejecting the owner of a key would make the key unavailable.
+void DispatchGroup::State::evaluateEjection()
+{
+    if (settings_.kind != Routing::PoolKind::AnyServer)
+        return;
+    std::vector<ServerHealth> health;
+    for (std::size_t index = 0; index < servers_.size(); ++index) {
+        auto const& server = servers_[index];
+        if (isUsable(server))
+            health.push_back({ index, server.ejected, server.slowness, server.samples });
+    }
+    for (auto const index : decisions_.ejection->evaluate(health))
+        eject(index);
+}
+
+void DispatchGroup::State::expirePermits()
+{
+    while (!expiringPermits_.empty() && expiringPermits_.begin()->first <= now_) {
+        auto const permit = takePermit(permits_.find(expiringPermits_.begin()->second));
+        ++counters_.expiredPermits;
+        refresh(permit.server);
+        dropIfUnused(permit.server);
+    }
+}
+
+void DispatchGroup::State::handle(QuarantineAdded const& event)
+{
+    ledger_.quarantine(event.fingerprint, event.until);
+    serveSuspects();
+}
+
+void DispatchGroup::State::handle(QuarantineLifted const& event) { ledger_.lift(event.fingerprint); }
+
+void DispatchGroup::State::handle(SuspicionAdded const& event)
+{
+    ledger_.recordCrash(now_, event.fingerprint, event.server);
+    serveSuspects();
+}
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/DispatchRequests.cpp
@@ -0,0 +1,407 @@
+#include <LibPolicy/DispatchState.h>
+#include <LibPolicy/RetryRule.h>
+
+#include <algorithm>
+
+namespace Policy {
+
+namespace {
+    // Suspects run one after the other; a longer queue of them would only time out.
+    constexpr std::size_t maxSuspects = 64;
+    // Shortest pause that a refusal asks for.
+    constexpr Core::Duration minRetryAfter = std::chrono::milliseconds(20);
+    // Assumed time of a request before the first one was answered.
+    constexpr Core::Duration defaultHoldTime = std::chrono::milliseconds(10);
+    constexpr std::uint32_t permitPrefixShift = 40;
+} // namespace
+
+void DispatchGroup::State::handle(Acquire const& event)
+{
+    auto const& request = event.request;
+    if (auto const objection = findObjection(request)) {
+        refuse(event.ticket, *objection);
+        return;
+    }
+    auto const owner = resolveOwner(request);
+    if (request.owner ? owner == none : usableServers_ == 0) {
+        refuse(event.ticket, RefusalReason::NoServer);
+        return;
+    }
+    if (request.kind != AttemptKind::First && !decisions_.budget->charge()) {
+        refuse(event.ticket, RefusalReason::RetryBudgetExhausted);
+        return;
+    }
+    if (isSuspect(request)) {
+        enqueueSuspect(event.ticket, request, owner);
+        return;
+    }
+    if (!grantAtOnce(event.ticket, request, owner))
+        enqueue(event.ticket, request, owner);
+}
+
+std::optional<RefusalReason> DispatchGroup::State::findObjection(AcquireRequest const& request)
+{
+    if (stopped_)
+        return RefusalReason::NotDispatcher;
+    if (request.deadline <= now_)
+        return RefusalReason::DeadlineUnreachable;
+    if (isQuarantined(request))
+        return RefusalReason::Quarantined;
+    auto const idempotent = request.requestClass == Routing::RequestClass::Idempotent;
+    if (request.kind == AttemptKind::Hedge && !idempotent)
+        return RefusalReason::RetryBudgetExhausted;
+    if (request.kind == AttemptKind::Retry && !idempotent
+        && !(request.previousOutcome && mayRetry(request.requestClass, *request.previousOutcome)))
+        return RefusalReason::RetryBudgetExhausted;
+    return std::nullopt;
+}
+
+bool DispatchGroup::State::isQuarantined(AcquireRequest const& request) const
+{
+    return decisions_.stopCrashingRequests && !ledger_.isEmpty() && ledger_.isQuarantined(now_, request.fingerprint);
+}
+
+bool DispatchGroup::State::isSuspect(AcquireRequest const& request) const
+{
+    return decisions_.stopCrashingRequests && !ledger_.isEmpty() && ledger_.isSuspect(now_, request.fingerprint);
+}
+
+std::size_t DispatchGroup::State::resolveOwner(AcquireRequest const& request) const
+{
+    if (!request.owner)
+        return none;
+    auto const found = serverIndex_.find(*request.owner);
+    if (found == serverIndex_.end() || !isUsable(servers_[found->second]))
+        return none;
+    return found->second;
+}
+
+/// False when the request has to wait.
+bool DispatchGroup::State::grantAtOnce(TicketId ticket, AcquireRequest const& request, std::size_t owner)
+{
+    if (!canGrant() || queueFor(owner).size() > 0)
+        return false;
+    auto server = owner;
+    if (owner == none)
+        server = chooseServer(request, request.kind == AttemptKind::Hedge);
+    if (server == none || !isAvailable(servers_[server]))
+        return false;
+    if (!canMeetDeadline(request, {})) {
+        refuseCharged(ticket, request, RefusalReason::DeadlineUnreachable, jittered(minRetryAfter));
+        return true;
+    }
+    grant(ticket, request, server, false);
+    return true;
+}
+
+/// The choice among the servers that earlier attempts did not use. Falls back to any server unless `strict`.
+std::size_t DispatchGroup::State::chooseServer(AcquireRequest const& request, bool strict)
+{
+    if (request.excluded.empty())
+        return decisions_.choice->choose({}, random_).value_or(none);
+    std::vector<std::size_t> avoided;
+    for (auto const& name : request.excluded) {
+        auto const found = serverIndex_.find(name);
+        if (found != serverIndex_.end())
+            avoided.push_back(found->second);
+    }
+    auto const chosen = decisions_.choice->choose(avoided, random_);
+    if (chosen || strict)
+        return chosen.value_or(none);
+    return decisions_.choice->choose({}, random_).value_or(none);
+}
+
+void DispatchGroup::State::enqueue(TicketId ticket, AcquireRequest const& request, std::size_t owner)
+{
+    if (request.kind == AttemptKind::Hedge) {
+        refuseCharged(ticket, request, RefusalReason::Overloaded);
+        return;
+    }
+    QueueItem const item { ticket, request.priority, Core::hash64(request.caller.value), request.deadline };
+    auto const wait = estimatedWait(item, owner);
+    if (started_ && !canMeetDeadline(request, wait)) {
+        auto const excess = now_ + wait - request.deadline + routes_[indexOfRoute(request.route)].value();
+        refuseCharged(ticket, request, RefusalReason::DeadlineUnreachable, jittered(std::max(excess, minRetryAfter)));
+        return;
+    }
+    auto& queue = queueFor(owner);
+    if (!queue.push(item)) {
+        auto const evicted = queue.evictFor(item);
+        if (evicted)
+            refuseWaiting(evicted->ticket, RefusalReason::Overloaded, jittered(std::max(wait, minRetryAfter)));
+        if (!evicted || !queue.push(item)) {
+            refuseCharged(ticket, request, RefusalReason::Overloaded, jittered(std::max(wait, minRetryAfter)));
+            return;
+        }
+    }
+    waiting_.emplace(ticket, WaitingRequest { request, owner, item, false });
+    deadlines_.emplace(request.deadline, ticket);
+}
+
+void DispatchGroup::State::enqueueSuspect(TicketId ticket, AcquireRequest const& request, std::size_t owner)
+{
+    if (request.kind == AttemptKind::Hedge || suspects_.size() >= maxSuspects) {
+        refuseCharged(ticket, request, RefusalReason::Overloaded, jittered(minRetryAfter));
+        return;
+    }
+    waiting_.emplace(ticket, WaitingRequest { request, owner, { .ticket = ticket }, true });
+    deadlines_.emplace(request.deadline, ticket);
+    suspects_.push_back(ticket);
+    serveSuspects();
+}
+
+void DispatchGroup::State::grant(TicketId ticket, AcquireRequest const& request, std::size_t index, bool isolated)
+{
+    auto& server = servers_[index];
+    Core::PermitId const id { (std::uint64_t { settings_.permitPrefix } << permitPrefixShift) + ++permitCount_ };
+    auto const route = indexOfRoute(request.route);
+    permits_.emplace(id,
+        HeldPermit { index, indexOfHolder(request.holder), route, request.fingerprint, request.kind, now_, isolated });
+    if (server.inFlight++ == 0)
+        server.lastProgress = now_;
+    ++counters_.granted;
+    counters_.retries += request.kind == AttemptKind::Retry ? 1 : 0;
+    counters_.hedges += request.kind == AttemptKind::Hedge ? 1 : 0;
+    Permit permit { id, server.name, std::nullopt };
+    if (request.kind == AttemptKind::First) {
+        decisions_.budget->onFirstAttempt();
+        if (!request.owner && !isolated && request.requestClass == Routing::RequestClass::Idempotent
+            && usableServers_ > 1)
+            permit.hedgeAfter = decisions_.hedge->delay(routes_[route].value());
+    }
+    actions_->emplace_back(Granted { ticket, std::move(permit) });
+    refresh(index);
+}
+
+/// Refuses a request that passed the retry budget.
+void DispatchGroup::State::refuseCharged(
+    TicketId ticket, AcquireRequest const& request, RefusalReason reason, Core::Duration retryAfter)
+{
+    if (request.kind != AttemptKind::First)
+        decisions_.budget->refund();
+    refuse(ticket, reason, retryAfter);
+}
+
+void DispatchGroup::State::refuse(TicketId ticket, RefusalReason reason, Core::Duration retryAfter)
+{
+    switch (reason) {
+    case RefusalReason::Overloaded:
+        ++counters_.refusedOverloaded;
+        break;
+    case RefusalReason::DeadlineUnreachable:
+        ++counters_.refusedDeadline;
+        break;
+    case RefusalReason::RetryBudgetExhausted:
+        ++counters_.refusedBudget;
+        break;
+    case RefusalReason::Quarantined:
+        ++counters_.refusedQuarantined;
+        break;
+    default:
+        ++counters_.refusedOther;
+    }
+    actions_->emplace_back(Refused { ticket, { reason, retryAfter } });
+}
+
+void DispatchGroup::State::refuseWaiting(TicketId ticket, RefusalReason reason, Core::Duration retryAfter)
+{
+    auto const found = waiting_.find(ticket);
+    refuseCharged(ticket, found->second.request, reason, retryAfter);
+    forget(ticket);
+}
+
+/// Drops what is kept of a waiting request, apart from its place in the queue.
+void DispatchGroup::State::forget(TicketId ticket)
+{
+    auto const found = waiting_.find(ticket);
+    deadlines_.erase({ found->second.request.deadline, ticket });
+    if (found->second.isolated)
+        std::erase(suspects_, ticket);
+    waiting_.erase(found);
+}
+
+bool DispatchGroup::State::canMeetDeadline(AcquireRequest const& request, Core::Duration wait)
+{
+    if (!decisions_.refuseEarly)
+        return request.deadline > now_;
+    auto& route = routes_[indexOfRoute(request.route)];
+    if (now_ + wait + route.value() <= request.deadline)
+        return true;
+    if (now_ + wait < request.deadline)
+        route.doubt();
+    return false;
+}
+
+Core::Duration DispatchGroup::State::estimatedWait(QueueItem const& item, std::size_t owner) const
+{
+    if (!decisions_.refuseEarly)
+        return {};
+    auto concurrency = capacity_;
+    auto hold = holdTime_;
+    Core::Duration pause {};
+    auto const* queue = sharedQueue_.get();
+    if (owner != none) {
+        auto const& server = servers_[owner];
+        concurrency = server.limit->current();
+        hold = server.holdTime;
+        queue = server.queue.get();
+        if (server.ejected)
+            pause = std::max(server.ejectedUntil - now_, Core::Duration {});
+    }
+    if (hold.count() == 0)
+        hold = defaultHoldTime;
+    auto const ahead = static_cast<Core::Duration::rep>(queue->ahead(item) + 1);
+    return pause + hold * ahead / std::max(concurrency, 1U);
+}
+
+Core::Duration DispatchGroup::State::jittered(Core::Duration duration)
+{
+    auto const half = static_cast<std::uint64_t>(duration.count()) / 2;
+    return duration + Core::Duration { static_cast<Core::Duration::rep>(random_.below(half + 1)) };
+}
+
+WaitQueue& DispatchGroup::State::queueFor(std::size_t owner)
+{
+    return owner == none ? *sharedQueue_ : *servers_[owner].queue;
+}
+
+/// Grants waiting work after something changed at this server.
+void DispatchGroup::State::serve(std::size_t server)
+{
+    if (!canGrant())
+        return;
+    serveSuspects();
+    while (isAvailable(servers_[server]) && servers_[server].queue->size() > 0)
+        serveNext(*servers_[server].queue, server);
+    serveShared();
+}
+
+void DispatchGroup::State::serveShared()
+{
+    while (sharedQueue_->size() > 0 && decisions_.choice->hasAvailable())
+        serveNext(*sharedQueue_, none);
+}
+
+void DispatchGroup::State::serveNext(WaitQueue& queue, std::size_t owner)
+{
+    auto const item = queue.pop();
+    auto const ticket = item->ticket;
+    auto const& request = waiting_.at(ticket).request;
+    if (!canMeetDeadline(request, {})) {
+        refuseWaiting(ticket, RefusalReason::DeadlineUnreachable, jittered(minRetryAfter));
+        return;
+    }
+    if (isQuarantined(request)) {
+        refuseWaiting(ticket, RefusalReason::Quarantined);
+        return;
+    }
+    if (isSuspect(request)) {
+        // It became a suspect while it waited.
+        auto& waiting = waiting_.at(ticket);
+        waiting.isolated = true;
+        suspects_.push_back(ticket);
+        return;
+    }
+    grant(ticket, request, owner == none ? chooseServer(request, false) : owner, false);
+    forget(ticket);
+}
+
+/// A suspect runs on a server without other work, so that a second crash proves its guilt and no innocent request is
+/// suspected together with it.
+void DispatchGroup::State::serveSuspects()
+{
+    if (suspects_.empty() || !canGrant())
+        return;
+    auto const tickets = suspects_;
+    for (auto const ticket : tickets) {
+        auto const& waiting = waiting_.at(ticket);
+        if (ledger_.isQuarantined(now_, waiting.request.fingerprint))
+            refuseWaiting(ticket, RefusalReason::Quarantined);
+        else if (serveSuspect(ticket))
+            forget(ticket);
+    }
+}
+
+bool DispatchGroup::State::serveSuspect(TicketId ticket)
+{
+    auto const& waiting = waiting_.at(ticket);
+    auto target = waiting.owner;
+    if (target == none)
+        target = suspectServer_;
+    if (target == none) {
+        target = chooseServer(waiting.request, false);
+        if (target == none)
+            return false;
+        suspectServer_ = target;
+    }
+    return tryIsolated(ticket, target);
+}
+
+bool DispatchGroup::State::tryIsolated(TicketId ticket, std::size_t index)
+{
+    auto& server = servers_[index];
+    if (!isUsable(server) || server.ejected) {
+        releaseReservation(index);
+        return false;
+    }
+    if (!server.reserved) {
+        server.reserved = true;
+        ++reservedServers_;
+        refresh(index);
+    }
+    if (server.inFlight > 0)
+        return false;
+    server.runsSuspect = true;
+    grant(ticket, waiting_.at(ticket).request, index, true);
+    return true;
+}
+
+void DispatchGroup::State::releaseReservation(std::size_t index)
+{
+    if (servers_[index].reserved)
+        --reservedServers_;
+    servers_[index].reserved = false;
+    if (suspectServer_ == index)
+        suspectServer_ = none;
+    refresh(index);
+}
+
+void DispatchGroup::State::handle(Cancel const& event)
+{
+    auto const found = waiting_.find(event.ticket);
+    if (found == waiting_.end())
+        return;
+    if (!found->second.isolated)
+        queueFor(found->second.owner).remove(found->second.item);
+    refuseWaiting(event.ticket, RefusalReason::Cancelled);
+    settleReservations();
+}
+
+void DispatchGroup::State::expireWaiting()
+{
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now_) {
+        auto const ticket = deadlines_.begin()->second;
+        auto const& waiting = waiting_.at(ticket);
+        if (!waiting.isolated)
+            queueFor(waiting.owner).remove(waiting.item);
+        refuseWaiting(ticket, RefusalReason::DeadlineUnreachable, jittered(minRetryAfter));
+    }
+    settleReservations();
+}
+
+/// A reservation must not outlive the suspect that it was made for.
+void DispatchGroup::State::settleReservations()
+{
+    for (std::size_t index = 0; reservedServers_ > 0 && index < servers_.size(); ++index) {
+        if (!servers_[index].reserved || servers_[index].runsSuspect)
+            continue;
+        auto const wanted = std::ranges::any_of(suspects_, [&](TicketId ticket) {
+            auto const owner = waiting_.at(ticket).owner;
+            return owner == index || (owner == none && suspectServer_ == index);
+        });
+        if (!wanted)
+            releaseReservation(index);
+    }
+}
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/FairQueue.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <LibPolicy/DispatchSettings.h>
+#include <LibPolicy/WaitQueue.h>
+
+#include <array>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace Policy {
+
+/// Bounded queue. Priorities share the service by weight, so that bulk work is slow but never starved. Within a
+/// priority the callers take turns. The items of one caller are served in the order of their deadlines.
+/// Every operation is at most logarithmic in the number of items.
+class FairQueue final : public WaitQueue {
+public:
+    explicit FairQueue(QueueSettings const&);
+
+    bool push(QueueItem const&) override;
+    bool remove(QueueItem const&) override;
+    std::optional<QueueItem> pop() override;
+    std::optional<QueueItem> evictFor(QueueItem const&) override;
+    std::size_t size() const override { return size_; }
+    std::size_t ahead(QueueItem const&) const override;
+
+private:
+    static constexpr std::size_t bandCount = 3;
+
+    struct CallerItems {
+        std::map<std::pair<Core::TimePoint, TicketId>, QueueItem> items;
+        std::list<std::uint64_t>::iterator turn;
+    };
+    /// The items of one priority.
+    struct Band {
+        std::unordered_map<std::uint64_t, CallerItems> callers;
+        /// Callers in the order of their turns.
+        std::list<std::uint64_t> turns;
+        std::multiset<std::pair<Core::TimePoint, TicketId>> byDeadline;
+        std::unordered_map<TicketId, std::uint64_t> callerOf;
+        double weight { 1 };
+        /// Virtual time of the next service. The band with the lowest one is served.
+        double pass { 0 };
+    };
+
+    Band& bandOf(Routing::Priority priority) { return bands_[static_cast<std::size_t>(priority)]; }
+    bool hasFullShare(std::uint64_t caller) const;
+    void take(Band&, std::uint64_t caller, std::pair<Core::TimePoint, TicketId> const& key);
+
+    QueueSettings settings_;
+    std::array<Band, bandCount> bands_;
+    std::unordered_map<std::uint64_t, std::size_t> heldByCaller_;
+    std::size_t size_ { 0 };
+    double virtualTime_ { 0 };
+};
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/SlowStartLimit.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <LibPolicy/DispatchSettings.h>
+#include <LibPolicy/ServerLimit.h>
+
+namespace Policy {
+
+/// The smaller of the slots and the capacity that the server demonstrated since it was last cold.
+///
+/// A cold server starts with one request. The limit rises by one when the server answered enough requests at the
+/// current limit, the latency is near the typical one and no longer falls, and the step interval has passed. A shed
+/// request lowers the limit and doubles the step interval of this server.
+class SlowStartLimit final : public ServerLimit {
+public:
+    explicit SlowStartLimit(LimitSettings const&);
+
+    std::uint32_t current() const override { return limit_; }
+    bool isCold() const override { return limit_ < slots_; }
+    void setSlots(std::uint32_t) override;
+    void markCold(Core::TimePoint now) override;
+    void assumeDemonstrated(std::uint32_t) override;
+    bool observe(AttemptSample const&) override;
+
+private:
+    void onAnswer(AttemptSample const&);
+    void onShed(AttemptSample const&);
+    void considerStep(Core::TimePoint now);
+    void beginWindow();
+
+    LimitSettings settings_;
+    std::uint32_t slots_ { 1 };
+    std::uint32_t limit_ { 1 };
+    Core::Duration stepInterval_;
+    Core::TimePoint lastStep_;
+    /// Answers, their latency ratios, and whether the limit was reached, since the last decision.
+    std::uint32_t answers_ { 0 };
+    double ratioSum_ { 0 };
+    bool limitReached_ { false };
+    /// Mean ratio of the window before; zero when there is none.
+    double previousRatio_ { 0 };
+    std::uint32_t plateauWindows_ { 0 };
+    /// One bit for each of the last 16 outcomes.
+    std::uint16_t slowSigns_ { 0 };
+    std::uint16_t shedSigns_ { 0 };
+};
+
+} // namespace Policy
--- /dev/null
+++ b/Libraries/LibPolicy/TypicalLatency.cpp
@@ -0,0 +1,32 @@
+#include <LibPolicy/TypicalLatency.h>
+
+#include <algorithm>
+
+namespace Policy {
+
+namespace {
+    // Smallest step of the estimate relative to its value: it doubles within about 35 samples.
+    constexpr double minStep = 0.02;
+    constexpr double doubtFactor = 0.99;
+} // namespace
+
+void TypicalLatency::observe(Core::Duration latency)
+{
+    ++samples_;
+    auto const sample = static_cast<double>(std::max<Core::Duration::rep>(latency.count(), 1));
+    if (samples_ == 1) {
+        nanoseconds_ = sample;
+        return;
+    }
+    auto const step = std::max(minStep, 1.0 / static_cast<double>(samples_ + 1));
+    nanoseconds_ *= sample > nanoseconds_ ? 1 + step : 1 - step;
+}
+
+double TypicalLatency::ratio(Core::Duration latency) const
+{
+    return samples_ == 0 || nanoseconds_ <= 0 ? 1 : static_cast<double>(latency.count()) / nanoseconds_;
+}
+
+void TypicalLatency::doubt() { nanoseconds_ *= doubtFactor; }
+
+} // namespace Policy
