--- a/Libraries/LibPolicy/DispatchRequests.cpp
+++ b/Libraries/LibPolicy/DispatchRequests.cpp
@@ -222,13 +222,14 @@
 
 bool DispatchGroup::State::canMeetDeadline(AcquireRequest const& request, Core::Duration wait)
 {
+    if (request.deadline <= now_ + wait)
+        return false;
     if (!decisions_.refuseEarly)
-        return request.deadline > now_;
+        return true;
     auto& route = routes_[indexOfRoute(request.route)];
     if (now_ + wait + route.value() <= request.deadline)
         return true;
-    if (now_ + wait < request.deadline)
-        route.doubt();
+    route.doubt();
     return false;
 }
 
@@ -317,6 +318,8 @@
         auto const& waiting = waiting_.at(ticket);
         if (ledger_.isQuarantined(now_, waiting.request.fingerprint))
             refuseWaiting(ticket, RefusalReason::Quarantined);
+        else if (waiting.request.deadline <= now_)
+            refuseWaiting(ticket, RefusalReason::DeadlineUnreachable, jittered(minRetryAfter));
         else if (serveSuspect(ticket))
             forget(ticket);
     }
--- a/Libraries/LibPolicy/FairQueue.cpp
+++ b/Libraries/LibPolicy/FairQueue.cpp
@@ -85,7 +85,7 @@
     // Each turn serves every caller once, so a caller with few items overtakes one with many.
     auto const ownItems = own == band.callers.end() ? 0 : own->second.items.size();
     auto const callers = band.turns.size() + (ownItems == 0 ? 1 : 0);
-    inBand = std::min(inBand, (ownItems + 1) * callers);
+    inBand = std::min(inBand, (ownItems + 1) * callers - 1);
     double total = static_cast<double>(inBand);
     for (std::size_t other = 0; other < bandCount; ++other) {
         if (other == index)
--- a/Tests/LibPolicy/TestPermits.cpp
+++ b/Tests/LibPolicy/TestPermits.cpp
@@ -81,8 +81,7 @@
     fixture.addServer("a");
     auto const held = fixture.granted(fixture.ownedBy("a"));
     fixture.acquire(fixture.ownedBy("a"));
-    auto const refusals
-        = GroupFixture::only<Refused>(fixture.send(ServerPresent { { "a" }, { 1 }, 2, true }));
+    auto const refusals = GroupFixture::only<Refused>(fixture.send(ServerPresent { { "a" }, { 1 }, 2, true }));
     BOOST_REQUIRE_EQUAL(refusals.size(), 1);
     BOOST_TEST((refusals[0].refusal.reason == RefusalReason::NoServer));
     BOOST_TEST((fixture.refused(fixture.ownedBy("a")).reason == RefusalReason::NoServer));
