--- /dev/null
+++ b/Libraries/LibProxy/Attempt.cpp
@@ -0,0 +1,273 @@
+#include <LibCore/Random.h>
+#include <LibProxy/Attempt.h>
+#include <LibProxy/HeaderRules.h>
+
+#include <algorithm>
+
+namespace Proxy {
+
+using Policy::AttemptOutcome;
+
+namespace {
+
+    constexpr std::size_t bodyPieceBytes = 64UL * 1024;
+
+    MessageReader responseReader(Environment const& environment, RequestContext const& context)
+    {
+        MessageReader reader(MessageKind::Response, environment.settings.maxHeadBytes);
+        if (context.head.method == "HEAD")
+            reader.expectNoBody();
+        return reader;
+    }
+
+} // namespace
+
+Attempt::Attempt(Environment& environment, RequestContext& context, AttemptPlan plan)
+    : environment_(environment)
+    , context_(context)
+    , plan_(std::move(plan))
+    , response_(responseReader(environment, context))
+{
+    auto const& request = context.record;
+    span_ = { .requestId = request.requestId,
+        .trace = request.trace,
+        .route = request.route,
+        .pool = request.pool,
+        .server = plan_.server.name,
+        .kind = plan_.kind,
+        .begin = Core::BootClock::now() };
+    span_.trace.parentSpanId = request.trace.spanId;
+    span_.trace.spanId = threadRandom().next();
+    environment_.collaborators.observer.attemptBegan(span_);
+}
+
+Attempt::~Attempt()
+{
+    if (!isFinished_)
+        finish(AttemptOutcome::Cancelled, {});
+}
+
+AttemptFailure Attempt::fail(AttemptOutcome outcome, Reason reason) const { return { outcome, { reason } }; }
+
+AttemptFailure Attempt::failBody(BodyError error) const
+{
+    if (error == BodyError::DeadlinePassed)
+        return fail(AttemptOutcome::Cancelled, Reason::DeadlineExceeded);
+    return fail(AttemptOutcome::Cancelled, error == BodyError::CallerLeft ? Reason::Cancelled : Reason::BodyBroken);
+}
+
+Core::Result<Core::Void, AttemptFailure> Attempt::connect()
+{
+    auto const& settings = environment_.settings;
+    auto maxAge = context_.isIdempotent() ? settings.serverIdleTimeout : settings.provenConnectionAge;
+    if (plan_.needsNewConnection)
+        maxAge = Core::Duration { -1 };
+    auto opened = environment_.connections.open({ .server = plan_.server,
+        .entryHosts = plan_.entryHosts,
+        .maxAge = maxAge,
+        .deadline = std::min(context_.deadline, Core::BootClock::now() + settings.connectTimeout),
+        .watched = context_.isClaimed ? -1 : context_.caller.descriptor() });
+    if (!opened.isError()) {
+        connection_.emplace(std::move(opened).value());
+        return Core::Void {};
+    }
+    if (std::holds_alternative<ConnectionLimitReached>(opened.error()))
+        return AttemptFailure { AttemptOutcome::NotSent, { Reason::Overloaded, std::chrono::seconds(1) } };
+    if (!context_.isClaimed && hasHungUp(context_.caller.descriptor()))
+        return fail(AttemptOutcome::NotSent, Reason::CallerLeft);
+    return fail(AttemptOutcome::ConnectFailed, Reason::ConnectFailed);
+}
+
+Core::Result<Core::Void, AttemptFailure> Attempt::send()
+{
+    TRY(connect());
+    auto const head = requestHead();
+    if (Core::BootClock::now() >= context_.deadline)
+        return fail(AttemptOutcome::NotSent, Reason::DeadlineUnreachable);
+    // Last check before the first byte: the process may have been paused since the permit was granted.
+    if (!environment_.collaborators.views.hasValidLease())
+        return AttemptFailure { AttemptOutcome::NotSent, { Reason::NotReady, std::chrono::seconds(1) } };
+    isSent_ = true;
+    sentAt_ = Core::BootClock::now();
+    auto const isChunked = context_.head.isChunked;
+    auto const buffered = context_.body.buffered();
+    auto const chunk = isChunked ? encodeChunk(buffered) : std::string();
+    if (!TRY(sendPiece(head, isChunked ? std::string_view(chunk) : buffered)))
+        return Core::Void {};
+    return sendRemainingBody();
+}
+
+Core::Result<Core::Void, AttemptFailure> Attempt::sendRemainingBody()
+{
+    auto const& body = context_.body;
+    auto const isChunked = context_.head.isChunked;
+    std::vector<char> buffer(body.isDone() ? 0 : bodyPieceBytes);
+    while (!body.isDone()) {
+        auto const piece = context_.body.read(buffer);
+        if (piece.isError())
+            return failBody(piece.error());
+        if (piece.value() == 0) {
+            if (body.isDone())
+                break;
+            if (!TRY(waitForServer(0, true)))
+                return Core::Void {};
+            continue;
+        }
+        auto const data = std::string_view(buffer.data(), piece.value());
+        auto const frame = isChunked ? chunkHeader(data.size()) : std::string();
+        if (!TRY(sendPiece(frame, data)) || (isChunked && !TRY(sendPiece("\r\n", {}))))
+            return Core::Void {};
+    }
+    if (isChunked && !TRY(sendPiece(lastChunk, {})))
+        return Core::Void {};
+    isBodySent_ = true;
+    return Core::Void {};
+}
+
+Core::Result<bool, AttemptFailure> Attempt::sendPiece(std::string_view first, std::string_view second)
+{
+    while (!first.empty() || !second.empty()) {
+        auto const sent
+            = first.empty() ? connection_->socket().send(second) : connection_->socket().send(first, second);
+        // After a failed send the response may still be readable; reading decides.
+        if (sent.status == IoStatus::Failed || sent.status == IoStatus::Closed)
+            return false;
+        if (sent.status == IoStatus::WouldBlock) {
+            if (!TRY(waitForServer(POLLOUT, false)))
+                return false;
+            continue;
+        }
+        auto const fromFirst = std::min(sent.bytes, first.size());
+        first.remove_prefix(fromFirst);
+        second.remove_prefix(sent.bytes - fromFirst);
+    }
+    return true;
+}
+
+Core::Result<bool, AttemptFailure> Attempt::waitForServer(short events, bool readsCaller)
+{
+    auto const watchesCaller = readsCaller || !context_.isClaimed;
+    auto const callerEvents = static_cast<short>(readsCaller ? POLLIN | POLLRDHUP : POLLRDHUP);
+    std::array<pollfd, 2> polled { pollfd { descriptor(), static_cast<short>(events | POLLIN), 0 },
+        pollfd { watchesCaller ? context_.caller.descriptor() : -1, callerEvents, 0 } };
+    // A caller that is slow with its body says nothing about the server.
+    if (!waitFor(polled, context_.deadline))
+        return fail(readsCaller ? AttemptOutcome::Cancelled : AttemptOutcome::TimedOut, Reason::DeadlineExceeded);
+    // A caller that ends its stream in the middle of the body is found by reading.
+    if (!readsCaller && (polled[1].revents & hangUpEvents) != 0)
+        return fail(AttemptOutcome::Cancelled, Reason::Cancelled);
+    return (polled[0].revents & ~POLLOUT) == 0;
+}
+
+Core::Result<bool, AttemptFailure> Attempt::readHead()
+{
+    while (true) {
+        auto const received = input_.receiveFrom(connection_->socket());
+        if (received.status == IoStatus::WouldBlock)
+            return false;
+        if (received.status != IoStatus::Done)
+            return fail(AttemptOutcome::ConnectionLost, Reason::ConnectionLost);
+        if (latency_.count() == 0)
+            latency_ = Core::BootClock::now() - sentAt_;
+        auto complete = response_.readHead(input_);
+        while (!complete.isError() && complete.value() && response_.head().status / 100 == 1) {
+            // Interim responses are for this hop only. An upgrade was never asked for.
+            if (response_.head().status == 101)
+                return fail(AttemptOutcome::ConnectionLost, Reason::ConnectionLost);
+            response_ = responseReader(environment_, context_);
+            complete = response_.readHead(input_);
+        }
+        if (complete.isError())
+            return fail(AttemptOutcome::ConnectionLost, Reason::ConnectionLost);
+        if (complete.value())
+            return true;
+    }
+}
+
+Core::Result<std::size_t, AttemptFailure> Attempt::readBody(std::span<char> output)
+{
+    while (true) {
+        auto const decoded = response_.readBody(input_, output);
+        if (decoded.isError())
+            return fail(AttemptOutcome::ConnectionLost, Reason::ConnectionLost);
+        if (decoded.value() > 0 || response_.isDone())
+            return decoded.value();
+        auto const received = input_.receiveFrom(connection_->socket());
+        if (received.status == IoStatus::WouldBlock) {
+            // A response in progress has nothing more to write, so every event of the server's side is readable.
+            TRY(waitForServer(0, false));
+            continue;
+        }
+        if (received.status == IoStatus::Closed && response_.endsWithStream() && response_.finishAtEndOfStream())
+            return std::size_t { 0 };
+        if (received.status != IoStatus::Done)
+            return fail(AttemptOutcome::ConnectionLost, Reason::ConnectionLost);
+    }
+}
+
+std::string Attempt::requestHead() const
+{
+    auto const remaining = std::max<std::int64_t>(1, Core::toMilliseconds(context_.deadline - Core::BootClock::now()));
+    std::string text;
+    text.reserve(1024);
+    text.append(context_.head.method).append(" ").append(context_.head.target).append(" HTTP/1.1\r\n");
+    appendForwardedFields(text, context_.head);
+    appendField(text, "Primroseshift-Request-Id", context_.record.requestId.toString());
+    appendField(text, "Primroseshift-Deadline-Ms", std::to_string(remaining));
+    appendField(text, "traceparent", toTraceParent(context_.record.trace, span_.trace.spanId));
+    if (plan_.epoch) {
+        appendField(text, "Primroseshift-Slot", std::to_string(context_.slot->value));
+        appendField(text, "Primroseshift-Epoch", std::to_string(plan_.epoch->value));
+    }
+    if (context_.head.isChunked)
+        appendField(text, "Transfer-Encoding", "chunked");
+    else if (context_.head.contentLength)
+        appendField(text, "Content-Length", std::to_string(*context_.head.contentLength));
+    return text.append("\r\n");
+}
+
+void Attempt::finishAnswered(AttemptOutcome outcome)
+{
+    auto const isReusable = isBodySent_ && response_.isDone() && response_.head().keepsAlive
+        && !response_.endsWithStream() && input_.isEmpty();
+    AttemptEnd const end { .status = response_.head().status, .reusedConnection = isReused() };
+    if (isReusable)
+        connection_->giveBack(Core::BootClock::now());
+    else
+        connection_->close();
+    finish(outcome, end);
+}
+
+void Attempt::finishFailed(AttemptOutcome outcome)
+{
+    if (isFinished_)
+        return;
+    AttemptEnd end { .reusedConnection = isReused() };
+    if (connection_)
+        connection_->close();
+    if (isSent_ && (outcome == AttemptOutcome::ConnectionLost || outcome == AttemptOutcome::TimedOut)) {
+        auto const deadline = Core::BootClock::now() + environment_.settings.probeTimeout;
+        end.serverUnreachable = !ServerConnections::probe(plan_.server.endpoint, deadline);
+        end.halfOpenConnection = !end.serverUnreachable && end.reusedConnection && latency_.count() == 0;
+    }
+    finish(outcome, end);
+}
+
+void Attempt::finish(AttemptOutcome outcome, AttemptEnd end)
+{
+    isFinished_ = true;
+    if (connection_)
+        connection_->close();
+    plan_.slotUse.end();
+    environment_.collaborators.permits.release(plan_.server.pool, plan_.server.name,
+        { .permit = plan_.permit.id,
+            .outcome = outcome,
+            .latency = latency_,
+            .serverUnreachable = end.serverUnreachable });
+    end.outcome = outcome;
+    end.end = Core::BootClock::now();
+    end.latency = latency_;
+    environment_.collaborators.observer.attemptEnded(span_, end);
+}
+
+} // namespace Proxy
--- /dev/null
+++ b/Libraries/LibProxy/CallerSession.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <LibProxy/Exchange.h>
+
+namespace Proxy {
+
+/// Serves the requests of one caller connection, one after the other.
+class CallerSession {
+public:
+    /// `drainDescriptor` becomes readable when the server begins to drain.
+    CallerSession(Environment& environment, CallerConnection& caller, int drainDescriptor)
+        : environment_(environment)
+        , caller_(caller)
+        , drainDescriptor_(drainDescriptor)
+    {
+    }
+
+    void run();
+
+private:
+    /// False when the connection stays idle too long, is closed, or the server drains.
+    bool waitForRequest();
+    Core::Result<Core::Void, ParseError> readHead(MessageReader&);
+    void rejectHead(ParseError const&);
+    bool serve(MessageReader&);
+
+    Environment& environment_;
+    CallerConnection& caller_;
+    int drainDescriptor_;
+};
+
+} // namespace Proxy
--- a/Libraries/LibProxy/Collaborators.h
+++ b/Libraries/LibProxy/Collaborators.h
@@ -27,6 +27,12 @@
     /// Blocks until a permit is granted or refused. Returns a refusal at the latest at the deadline of the request.
     virtual Policy::AcquireResult acquire(Policy::AcquireRequest const&) = 0;
     virtual void release(Core::PoolName const&, Core::ServerName const&, Policy::ReleaseReport const&) = 0;
+    /// How long the first attempt of an idempotent request may stay unanswered before a hedged attempt is tried with
+    /// AttemptKind::Hedge. Empty: no hedging. A hedged acquire should refuse at once rather than queue.
+    virtual std::optional<Core::Duration> hedgeDelay(Core::PoolName const&, Core::RouteName const&) const
+    {
+        return std::nullopt;
+    }
 };
 
 /// Identifies a non-idempotent request over resends by its caller.
--- a/Libraries/LibProxy/Outcome.cpp
+++ b/Libraries/LibProxy/Outcome.cpp
@@ -35,6 +35,7 @@
         ReasonEntry { "connection-lost", Outcome::Unknown, 502 },
         ReasonEntry { "first-attempt-unknown", Outcome::Unknown, 409 },
         ReasonEntry { "answer-not-kept", Outcome::Unknown, 409 },
+        ReasonEntry { "bad-body", Outcome::Unknown, 400 },
         ReasonEntry { "cancelled", Outcome::Unknown, 499 },
     };
     static_assert(reasonTable.size() == static_cast<std::size_t>(Reason::Cancelled) + 1);
--- a/Libraries/LibProxy/Outcome.h
+++ b/Libraries/LibProxy/Outcome.h
@@ -43,6 +43,8 @@
     ConnectionLost,
     FirstAttemptUnknown,
     AnswerNotKept,
+    /// The caller's body became invalid or too large after a part of it was sent.
+    BodyBroken,
     /// The caller left after bytes were sent.
     Cancelled,
 };
--- /dev/null
+++ b/Libraries/LibProxy/RequestContext.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <LibProxy/RequestBody.h>
+#include <LibProxy/Server.h>
+#include <LibProxy/ServerConnections.h>
+#include <LibProxy/SlotUsage.h>
+
+#include <atomic>
+
+namespace Proxy {
+
+/// What all requests of one server share.
+struct Environment {
+    ServerSettings const& settings;
+    Collaborators collaborators;
+    ServerConnections connections;
+    SlotUsage slots;
+    std::atomic<bool> isDraining { false };
+    std::atomic<bool> isStopping { false };
+    std::atomic<std::uint32_t> requestsInFlight { 0 };
+    /// Requests that wait for an owner; bounded, since each one occupies a thread.
+    std::atomic<std::uint32_t> requestsHeld { 0 };
+};
+
+/// Why a request ends without a response of a backend server.
+struct Rejection {
+    Reason reason { Reason::None };
+    Core::Duration retryAfter { 0 };
+};
+
+/// A request that matched a route.
+struct RequestContext {
+    MessageHead const& head;
+    RequestBody& body;
+    Socket& caller;
+    RequestRecord& record;
+    /// Keeps `route` and `pool` alive.
+    std::shared_ptr<Routing::View const> view;
+    Routing::RouteDefinition const* route { nullptr };
+    Routing::PoolDefinition const* pool { nullptr };
+    std::string key;
+    /// Key-partitioned pools only.
+    std::optional<Core::SlotNumber> slot;
+    std::string idempotencyKey;
+    Core::TimePoint deadline;
+    Core::Digest fingerprint;
+    /// A claimed order goes on without its caller, so that a resend gets the answer.
+    bool isClaimed { false };
+
+    bool isIdempotent() const { return route->requestClass == Routing::RequestClass::Idempotent; }
+};
+
+/// Random numbers of the calling thread, for identifiers and jitter.
+Core::Random& threadRandom();
+
+/// Adopts the caller's trace context or begins a new trace.
+TraceContext traceOf(MessageHead const&);
+/// The value of `traceparent` for the next hop.
+std::string toTraceParent(TraceContext const&, std::uint64_t spanId);
+
+/// Checks the request against the view and fills the context. Nothing has been sent when it fails.
+Core::Result<Core::Void, Rejection> admit(Environment&, RequestContext&);
+/// Computes the fingerprint from the route, the key, the idempotency key and the buffered body.
+Core::Digest fingerprintOf(RequestContext const&);
+
+} // namespace Proxy
