--- a/Libraries/LibConfig/DaemonSettings.h
+++ b/Libraries/LibConfig/DaemonSettings.h
@@ -97,8 +97,9 @@
 
 /// Section `[traffic]`.
 struct TrafficSettings {
-    std::uint32_t trafficThreads { 256 };
-    std::uint32_t maxCallerConnections { 1024 };
+    /// cpp-httplib keeps one thread for each connection.
+    std::uint32_t trafficThreads { 512 };
+    std::uint32_t maxCallerConnections { 512 };
     std::uint32_t listenBacklog { 4096 };
     /// Per direction of one request.
     std::uint64_t streamBufferBytes { 256ULL * 1024 };
@@ -151,7 +152,8 @@
 struct UsageSettings {
     /// Usage of at most this time plus one sync is lost when the process is killed.
     Core::Duration syncInterval { 5s };
-    std::uint64_t segmentBytes { 16ULL * 1024 * 1024 };
+    /// Growth of a day's file after which its completed hours are merged.
+    std::uint64_t compactAfterBytes { 16ULL * 1024 * 1024 };
     Core::Duration retention { 24h * 400 };
     /// Distinct combinations of pool, route and caller; further callers are counted as `other`.
     std::uint32_t maxNames { 4096 };
@@ -180,12 +182,13 @@
 struct SettingReference {
     std::string section;
     std::string key;
-    /// Empty for a required key.
+    /// Empty for a required key and for an optional key without a value.
     std::string defaultValue;
     /// The accepted type with its units.
     std::string type;
     std::string range;
     std::string meaning;
+    bool isRequired { false };
 };
 
 /// Every key of the daemon settings, in the order of docs/configuration.md.
--- a/Libraries/LibOperator/OperatorTypes.h
+++ b/Libraries/LibOperator/OperatorTypes.h
@@ -208,6 +208,8 @@
     Telemetry::UsageGrouping grouping { Telemetry::UsageGrouping::All };
 };
 struct UsageResponse {
+    /// Stored records that were left out because their checksum is wrong.
+    std::uint64_t corruptRecords { 0 };
     std::vector<Telemetry::UsageRow> rows;
 
     bool operator==(UsageResponse const&) const = default;
--- a/Libraries/LibTelemetry/Usage.h
+++ b/Libraries/LibTelemetry/Usage.h
@@ -3,6 +3,7 @@
 #include <LibCore/Identifiers.h>
 #include <LibCore/Time.h>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <span>
@@ -44,12 +45,18 @@
     bool operator==(UsageRow const&) const = default;
 };
 
-/// The usage that one process counted between two syncs. Identified by source, incarnation and sequence number, so that
-/// a batch that reaches several stores or arrives twice is counted once.
-struct UsageBatch {
+/// Identifies what one process counted between two syncs, or in several consecutive such intervals.
+struct UsageBatchId {
     Core::HostName source;
     Core::Incarnation incarnation;
-    std::uint64_t sequence { 0 };
+    std::uint64_t firstSequence { 0 };
+    std::uint64_t lastSequence { 0 };
+
+    auto operator<=>(UsageBatchId const&) const = default;
+};
+
+struct UsageBatch {
+    UsageBatchId id;
     /// Wall-clock time in milliseconds since the Unix epoch at the end of the batch.
     std::int64_t wallMilliseconds { 0 };
     std::vector<UsageRow> rows;
@@ -57,37 +64,45 @@
     bool operator==(UsageBatch const&) const = default;
 };
 
-/// Replaces names beyond the bound of distinct keys. Pool and route are kept as long as possible.
+/// Replaces names beyond the bound of distinct keys.
 inline constexpr std::string_view otherName = "other";
 
-/// Counts usage in memory. Not synchronized; `UsageAccount` adds the lock and the storage.
+/// Counts usage in memory. Not synchronized.
 class UsageCounter {
 public:
+    /// Keys beyond `maxKeys` are counted under the caller `other`, and beyond twice as many under `other` altogether.
     explicit UsageCounter(std::uint32_t maxKeys);
 
     void add(UsageKey const&, UsageCounters const&);
     /// The rows counted since the last call, sorted by key.
     std::vector<UsageRow> take();
+    /// Calls of `add` whose key was replaced.
     std::uint64_t boundedAdds() const { return boundedAdds_; }
 
 private:
-    UsageKey const& boundedKey(UsageKey const&);
+    UsageCounters& countersOf(UsageKey const&);
 
     std::uint32_t maxKeys_;
-    /// Keys seen since the start, which bounds the number of distinct keys in the records of one process.
+    /// All keys since the start: the bound holds for the records of the whole run, not for each batch.
     std::map<UsageKey, UsageCounters> counters_;
     std::uint64_t boundedAdds_ { 0 };
 };
 
 enum class UsageGrouping : std::uint8_t { Pool, Route, Caller, All };
 
-/// Batches with `from <= time < to`, each counted once, summed by the grouping. Fields outside the grouping are empty.
-std::vector<UsageRow> summarizeUsage(
-    std::span<UsageBatch const>, std::int64_t fromMilliseconds, std::int64_t toMilliseconds, UsageGrouping);
-/// Adds up rows with equal keys, for example those of several hosts.
-std::vector<UsageRow> mergeUsage(std::vector<UsageRow>, UsageGrouping);
+/// Drops batches that repeat others, for example because they reached several stores. Of batches that overlap, the one
+/// that covers more sequence numbers is kept.
+std::vector<UsageBatch> withoutRepeatedBatches(std::vector<UsageBatch>);
+
+/// Merges consecutive batches of one source within one hour of wall-clock time. Queries by whole hours give the same
+/// result before and after.
+std::vector<UsageBatch> mergeWithinHours(std::vector<UsageBatch>);
+
+/// Adds up rows by the grouping. Fields of the key outside the grouping are empty. Sorted by key.
+std::vector<UsageRow> groupUsage(std::span<UsageRow const>, UsageGrouping);
+std::vector<UsageRow> groupUsage(std::span<UsageBatch const>, UsageGrouping);
 
-/// One line of JSON with a checksum in front, without the newline.
+/// One line: a checksum and compact JSON, without the newline.
 std::string formatUsageBatch(UsageBatch const&);
 std::optional<UsageBatch> parseUsageBatch(std::string_view line);
 
