--- a/Libraries/LibControl/Command.h
+++ b/Libraries/LibControl/Command.h
@@ -87,6 +87,8 @@
 struct RemoveEntryHost {
     Core::HostName host;
     Core::Incarnation incarnation;
+    /// The join that this removal ends.
+    Core::ViewVersion joinedAt;
 
     bool operator==(RemoveEntryHost const&) const = default;
 };
--- a/Libraries/LibControl/EditLog.h
+++ b/Libraries/LibControl/EditLog.h
@@ -12,11 +12,14 @@
 
 inline constexpr std::size_t maxPools = 4'096;
 inline constexpr std::size_t maxRoutes = 16'384;
+/// Reasons kept of one invalid edit.
+inline constexpr std::size_t maxProblems = 256;
 
 struct EditLogLimits {
     /// Accepted edits kept in the history. At 3,500 changes a day, this is more than a day.
     std::size_t maxHistory { 4'096 };
-    /// Edit ids kept with their outcomes. When full, the oldest past `idRetention` make room, then the oldest.
+    /// Edit ids kept with their outcomes. Beyond it the oldest is dropped; a resend of a dropped edit gets a conflict,
+    /// since its base revision is old.
     std::size_t maxIds { 16'384 };
     Core::Duration idRetention { std::chrono::hours(24) };
 
@@ -53,6 +56,7 @@
 
     EditOutcome submit(SubmitEdit const&, Core::ViewVersion version, Core::Duration now, PoolInUse const&);
     void expire(Core::Duration now);
+    EditLogLimits const& limits() const { return limits_; }
 
     Core::Revision revision() const { return revision_; }
     std::shared_ptr<Routing::RoutingTable const> const& table() const { return table_; }
@@ -72,6 +76,8 @@
 
 private:
     EditOutcome decide(SubmitEdit const&, Core::ViewVersion, PoolInUse const&);
+    EditOutcome accept(SubmitEdit const&, Core::ViewVersion, Routing::RoutingTable);
+    void checkPoolsInUse(CompleteTables const&, PoolInUse const&, std::vector<EditProblem>&) const;
     void remember(Core::EditId const&, KnownEdit);
 
     EditLogLimits limits_;
--- a/Libraries/LibControl/Leader.h
+++ b/Libraries/LibControl/Leader.h
@@ -36,6 +36,9 @@
     Core::Duration rampUp { std::chrono::seconds(20) };
     /// Share of slots that a server starts with.
     double rampUpFrom { 0.1 };
+    /// After a pool got its first eligible server, slots without an owner wait this long. Otherwise the first server to
+    /// announce itself after a restart of the site would get all slots.
+    Core::Duration joinSettle { std::chrono::seconds(1) };
     /// Half-life of the measured load of slots.
     Core::Duration loadHalfLife { std::chrono::seconds(30) };
     /// Time between two `ExpireRecords`.
@@ -164,7 +167,12 @@
 
     struct HostLease {
         Core::Incarnation incarnation;
+        /// The join that the lease belongs to. Zero until the join was applied.
+        Core::ViewVersion joinedAt;
+        /// The host may believe in its view lease until then.
         Core::TimePoint expiry;
+        /// Without a heartbeat until then, the host is removed.
+        Core::TimePoint silentUntil;
         Core::ViewVersion appliedVersion;
         std::uint64_t sequence { 0 };
         std::vector<SlotRef> held;
@@ -172,30 +180,51 @@
         bool isLeaving { false };
     };
     struct ServerLease {
+        /// The server may believe in its grant until then.
         Core::TimePoint expiry;
+        /// Without an announcement until then, the server is lost.
+        Core::TimePoint silentUntil;
         double busySlots { 0 };
         /// A loss was proposed: no grant until it has been applied.
         bool isLeaving { false };
+        /// Another incarnation took its place. Delayed announcements of this one are ignored while the other one is
+        /// heard, so that two processes with one name do not take the slots from each other in turn.
+        bool isReplaced { false };
     };
-    /// A slot that its owner was asked to release.
+    /// A slot that its owner was asked to release. It is never granted to that owner again.
     struct Handover {
         Core::Epoch epoch;
-        /// The owner's grant that still contained the slot expires.
+        /// The last grant that contained the slot expires.
         Core::TimePoint grantExpiry;
-        bool confirmed { false };
+        bool isConfirmed { false };
     };
     struct SlotLoad {
         double load { 0 };
         Core::TimePoint updated;
     };
+    struct RampUp {
+        Core::ViewVersion coldSince;
+        Core::TimePoint began;
+    };
+    /// Work on the slots of one pool. The lists follow the state at `seenVersion`.
     struct PoolWork {
         std::vector<SlotLoad> loads;
+        std::map<std::uint64_t, Handover> handovers;
+        std::map<std::uint64_t, Core::TimePoint> releaseBegan;
+        std::unordered_map<Core::ServerName, std::vector<std::uint32_t>> slotsOf;
+        std::vector<std::uint32_t> unassigned;
+        std::vector<std::uint32_t> releasing;
+        bool hasDrainedOwners { false };
+        /// Since when some server may own slots.
+        std::optional<Core::TimePoint> eligibleSince;
+        std::optional<Core::ViewVersion> seenVersion;
         Core::TimePoint nextBalance;
-        std::map<std::uint32_t, Handover> handovers;
-        /// A proposal that changes owners is under way until the slots change or the retry time passes.
+        /// The last proposal that changes owners, and the table's version at that moment.
         std::optional<Core::TimePoint> proposedAt;
         Core::ViewVersion proposedFor;
     };
+    /// The slots that may get a new owner now.
+    using ReadySlots = std::map<std::uint64_t, ReleaseBasis>;
 
     void handle(Core::TimePoint now, BecameLeader const&);
     void handle(Core::TimePoint now, LostLeadership const&);
@@ -204,17 +233,40 @@
     void handle(Core::TimePoint now, Tick const&);
     void handle(Core::TimePoint now, StateApplied const&);
 
+    void clear();
     bool mayGrant(Core::TimePoint now) const;
+    HostLease* findHostLease(Core::TimePoint now, Heartbeat const&);
+    void proposeJoin(Core::TimePoint now, Heartbeat const&);
     void recordHeartbeat(Core::TimePoint now, Heartbeat const&, HostLease&);
     void recordWork(Core::TimePoint now, Heartbeat const&);
     Grant answerAnnouncement(Core::TimePoint now, Announcement const&);
-    void recordReleases(Announcement const&, ServerRecord const&);
-    void fillGrant(Grant&, ServerRecord const&) const;
-    void reconcileDrain(Core::TimePoint now, Announcement const&, ServerRecord const&);
+    bool reconcileServer(Core::TimePoint now, Announcement const&, ServerRecord const*, ServerLease&);
+    void recordReleases(Announcement const&);
+    void fillGrant(Core::TimePoint now, Grant&, Core::PoolName const&);
+    double decayed(SlotLoad const&, Core::TimePoint now) const;
+
     void evaluate(Core::TimePoint now);
-    void detectLosses(Core::TimePoint now);
+    void detectLostServers(Core::TimePoint now);
+    void detectLostHosts(Core::TimePoint now);
+    void advanceClock(Core::TimePoint now);
+    Core::TimePoint grantExpiry(Core::ServerName const&, Core::Incarnation) const;
+
+    PoolWork& refresh(Core::TimePoint now, Core::PoolName const&, SlotTable const&);
     void changeOwners(Core::TimePoint now, Core::PoolName const&, SlotTable const&);
-    void propose(Core::TimePoint now, std::string const& key, Command);
+    void advanceHandovers(Core::TimePoint now, Core::PoolName const&, SlotTable const&, PoolWork&);
+    ReadySlots findReady(Core::TimePoint now, Core::PoolName const&, SlotTable const&, PoolWork const&) const;
+    std::optional<ReleaseBasis> readyBasis(
+        Core::TimePoint now, SlotRef const&, SlotRecord const&, PoolWork const&, std::set<SlotRef> const& held) const;
+    bool canTake(Core::ServerName const&) const;
+    PlacementInput placementInput(
+        Core::TimePoint now, Core::PoolName const&, SlotTable const&, PoolWork&, ReadySlots const&);
+    double rampedCapacity(Core::TimePoint now, ServerRecord const&);
+    void proposeChanges(Core::TimePoint now, SlotTable const&, PoolWork&, ReadySlots const&, PlacementInput const&);
+    /// Slots whose release an entry host with a live lease holds up.
+    std::set<SlotRef> heldSlots(Core::TimePoint now) const;
+
+    /// Makes a proposal unless the same was made within the retry time.
+    void propose(Core::TimePoint now, std::string const& subject, Command);
 
     State const& state_;
     std::unique_ptr<Placement const> placement_;
@@ -222,16 +274,21 @@
 
     bool isLeading_ { false };
     Core::TimePoint lastStep_;
-    Core::TimePoint quorumContact_;
-    /// Leases granted by earlier leaders may be valid until then.
+    std::optional<Core::TimePoint> quorumContact_;
+    /// Leases and grants of earlier leaders may be valid until then.
     Core::TimePoint earlierLeasesUntil_;
+    Core::TimePoint earlierGrantsUntil_;
     Core::TimePoint noLossBefore_;
-    Core::TimePoint lastExpiry_;
+    Core::TimePoint nextServerScan_;
+    Core::TimePoint nextHostScan_;
+    Core::TimePoint clockAdvanced_;
     std::map<Core::HostName, HostLease> hosts_;
     std::map<ServerIncarnation, ServerLease> servers_;
+    std::unordered_map<Core::ServerName, RampUp> rampUps_;
     std::map<Core::PoolName, PoolWork> pools_;
-    /// When a proposal was made, by what it is about.
+    /// When a proposal was made, by its subject.
     std::unordered_map<std::string, Core::TimePoint> proposals_;
+    Core::ViewVersion evaluatedVersion_;
     std::shared_ptr<Routing::View const> view_;
     std::vector<Action> actions_;
 };
--- a/Libraries/LibControl/Ledger.h
+++ b/Libraries/LibControl/Ledger.h
@@ -55,6 +55,7 @@
     /// Claims of a removed entry host: nobody can tell any more whether they ran.
     void markUnknownClaimsOf(Core::HostName const&);
     void expire(Core::Duration now);
+    LedgerLimits const& limits() const { return limits_; }
 
     OrderRecord const* find(OrderKey const&) const;
     std::size_t size() const { return records_.size(); }
@@ -84,11 +85,13 @@
     };
     using Records = std::unordered_map<OrderKey, Entry, OrderKeyHash>;
 
-    void insert(OrderKey const&, OrderRecord);
+    /// Inserts or replaces, as the newest record.
+    void put(OrderKey const&, OrderRecord);
     void erase(Records::iterator);
     void closeClaim(OrderKey const&, OrderRecord&, OrderPhase);
-    Entry* findClaimedBy(OrderKey const&, Core::RequestId, bool alsoUnknown);
-    void expireQueue(std::deque<OrderedKey>&, Core::Duration before, bool abandonedOnly);
+    OrderRecord* findAttempt(OrderKey const&, Core::RequestId);
+    void dropObsolete();
+    void expireQueue(std::deque<OrderedKey>&, Core::Duration before);
 
     LedgerLimits limits_;
     Records records_;
--- a/Libraries/LibControl/Outcome.h
+++ b/Libraries/LibControl/Outcome.h
@@ -26,6 +26,8 @@
     InvalidAttribute,
     /// `ExpireRecords` advances by more than `maxClockStep`, or backwards.
     ClockStepOutOfRange,
+    /// The log index is not above that of the last command.
+    IndexAlreadyApplied,
 };
 struct Rejected {
     RejectionReason reason { RejectionReason::UnknownServer };
--- a/Libraries/LibControl/Placement.h
+++ b/Libraries/LibControl/Placement.h
@@ -21,8 +21,10 @@
 struct PlacementSlot {
     /// Index into `PlacementInput::servers`, or `noServer`.
     std::uint32_t owner { noServer };
-    /// The slot waits for its owner to release it and must not be planned again.
-    bool releasing { false };
+    /// For a slot without an owner: the last owner, which may still have the slot's data. Or `noServer`.
+    std::uint32_t lastOwner { noServer };
+    /// The slot waits for its owner to stop and must not be planned. Its load counts at `owner`, the next one.
+    bool isWaiting { false };
     /// Measured work of the slot, in any unit common to the pool.
     double load { 0 };
 };
--- a/Libraries/LibControl/SlotTable.h
+++ b/Libraries/LibControl/SlotTable.h
@@ -30,7 +30,7 @@
     using Check = Core::Result<Core::Void, SlotRejectionReason>;
 
     SlotTable() = default;
-    SlotTable(std::uint32_t slotCount, Core::Epoch firstEpoch);
+    SlotTable(std::uint32_t slotCount, Core::Epoch firstEpoch, Core::ViewVersion now);
 
     Check beginRelease(SlotRelease const&, Core::ViewVersion now);
     /// `owner` is the registered server that `SlotAssign::to` names.
@@ -51,6 +51,8 @@
     bool operator==(SlotTable const&) const = default;
 
 private:
+    Check checkStopped(SlotRecord const&, ReleaseBasis, Core::ViewVersion acknowledged) const;
+
     std::vector<SlotRecord> records_;
     Core::ViewVersion changedAt_;
 };
--- a/Libraries/LibControl/State.h
+++ b/Libraries/LibControl/State.h
@@ -5,6 +5,7 @@
 #include <LibControl/Ledger.h>
 #include <LibControl/SlotTable.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -18,6 +19,8 @@
 inline constexpr Core::Duration quarantineRetention = std::chrono::hours(24);
 /// Lost servers that own nothing are forgotten after this time.
 inline constexpr Core::Duration lostServerRetention = std::chrono::hours(1);
+/// As above for servers that an operator drained: the drain outlasts a repair of the host.
+inline constexpr Core::Duration drainedServerRetention = std::chrono::hours(7 * 24);
 /// Largest step of the state's clock in one `ExpireRecords`.
 inline constexpr Core::Duration maxClockStep = std::chrono::minutes(10);
 /// Share of the remaining capacity that a drain may fill.
@@ -35,10 +38,17 @@
     Core::Duration lostAt { 0 };
     /// Slots that it owns, including those being released.
     std::uint32_t ownedSlots { 0 };
+    std::uint32_t releasingSlots { 0 };
 
     bool operator==(ServerRecord const&) const = default;
 };
 
+/// Whether a server announces the attributes that are on record.
+bool hasSameAttributes(Routing::BackendServer const& known, Routing::BackendServer const& announced);
+
+/// Whether a server may keep the slots it owns when it announces other attributes.
+bool keepsSlots(Routing::BackendServer const& known, Routing::BackendServer const& announced);
+
 /// The replicated control state. Deterministic: the same commands in the same order give the same state and the same
 /// outcomes on each control host. Not thread-safe.
 class State {
@@ -68,13 +78,11 @@
 
     ServerRecord const* findServer(Core::ServerName const&) const;
     SlotTable const* findSlots(Core::PoolName const&) const;
-    /// Whether the server is in service, or drained but still owns slots.
+    /// Whether an operator, the server itself or its failure domain takes it out of service.
     bool isDrained(ServerRecord const&) const;
     /// Whether slots may be assigned to the server.
     bool canOwn(ServerRecord const&) const;
 
-    bool operator==(State const&) const;
-
 private:
     friend class SnapshotCodec;
 
@@ -104,12 +112,18 @@
     Outcome handle(ExpireRecords const&);
 
     void changeView() { viewVersion_ = { appliedIndex_ }; }
+    ServerRecord* findCurrent(Core::ServerName const&, Core::Incarnation);
+    void registerNew(RegisterServer const&);
+    void updateServer(ServerRecord&, RegisterServer const&);
     void vacateSlotsOf(ServerRecord&);
-    void markCold(ServerRecord&);
+    void markCold(ServerRecord& record) { record.server.coldSince = viewVersion_; }
     std::optional<DrainRefused> checkDrain(
-        std::set<Core::ServerName> const& leaving, std::vector<PoolDemand> const&) const;
-    Core::Result<Core::Void, SlotRejectionReason> checkTarget(Core::PoolName const&, Core::ServerName const&) const;
+        std::function<bool(ServerRecord const&)> const& isLeaving, std::vector<PoolDemand> const&) const;
+    ServerRecord const* findTarget(Core::PoolName const&, Core::ServerName const&) const;
+    bool isPoolInUse(Core::PoolName const&) const;
     void adoptTables();
+    void forgetLostServers();
+    void expireQuarantine();
     Routing::ServerState viewStateOf(ServerRecord const&) const;
 
     std::uint64_t appliedIndex_ { 0 };
