Test the codecs and placement; keep NUL bytes in texts

EachCommandSurvivesEncoding failed on keys with a NUL byte: KJ converts a std::string by its C string, so two keys that differ after the first NUL became one key, and the second order would have been answered from the first one's record. Texts are now converted with their length.

--- a/Libraries/LibControl/CommandCodec.cpp
+++ b/Libraries/LibControl/CommandCodec.cpp
@@ -15,7 +15,7 @@
     void writeDemand(capnp::List<Wire::PoolDemand>::Builder builder, std::vector<PoolDemand> const& demand)
     {
         for (unsigned i = 0; i < listSize(demand); ++i) {
-            builder[i].setPool(demand[i].pool.value);
+            builder[i].setPool(Wire::toText(demand[i].pool.value));
             builder[i].setBusySlots(demand[i].busySlots);
         }
     }
@@ -41,13 +41,13 @@
     void write(Builder builder, ServerLost const& command)
     {
         auto group = builder.initServerLost();
-        group.setServer(command.server.value);
+        group.setServer(Wire::toText(command.server.value));
         group.setIncarnation(command.incarnation.value);
     }
     void write(Builder builder, DrainServer const& command)
     {
         auto group = builder.initDrainServer();
-        group.setServer(command.server.value);
+        group.setServer(Wire::toText(command.server.value));
         group.setCause(static_cast<std::uint8_t>(command.cause));
         group.setForce(command.force);
         writeDemand(group.initDemand(listSize(command.demand)), command.demand);
@@ -55,17 +55,20 @@
     void write(Builder builder, ReturnServer const& command)
     {
         auto group = builder.initReturnServer();
-        group.setServer(command.server.value);
+        group.setServer(Wire::toText(command.server.value));
         group.setCause(static_cast<std::uint8_t>(command.cause));
     }
     void write(Builder builder, DrainDomain const& command)
     {
         auto group = builder.initDrainDomain();
-        group.setDomain(command.domain.value);
+        group.setDomain(Wire::toText(command.domain.value));
         group.setForce(command.force);
         writeDemand(group.initDemand(listSize(command.demand)), command.demand);
     }
-    void write(Builder builder, ReturnDomain const& command) { builder.setReturnDomain(command.domain.value); }
+    void write(Builder builder, ReturnDomain const& command)
+    {
+        builder.setReturnDomain(Wire::toText(command.domain.value));
+    }
     void write(Builder builder, JoinEntryHost const& command)
     {
         Wire::writeEntryHost(builder.initJoinEntryHost(), command.host);
@@ -73,14 +76,14 @@
     void write(Builder builder, RemoveEntryHost const& command)
     {
         auto group = builder.initRemoveEntryHost();
-        group.setHost(command.host.value);
+        group.setHost(Wire::toText(command.host.value));
         group.setIncarnation(command.incarnation.value);
         group.setJoinedAt(command.joinedAt.value);
     }
     void write(Builder builder, BeginRelease const& command)
     {
         auto group = builder.initBeginRelease();
-        group.setPool(command.pool.value);
+        group.setPool(Wire::toText(command.pool.value));
         auto slots = group.initSlots(listSize(command.slots));
         NameTable names;
         for (unsigned i = 0; i < listSize(command.slots); ++i) {
@@ -94,7 +97,7 @@
     void write(Builder builder, AssignSlots const& command)
     {
         auto group = builder.initAssignSlots();
-        group.setPool(command.pool.value);
+        group.setPool(Wire::toText(command.pool.value));
         group.setAcknowledged(command.acknowledged.value);
         auto slots = group.initSlots(listSize(command.slots));
         NameTable names;
@@ -113,21 +116,21 @@
                            Wire::writePool(builder.initPutPool(), put.pool);
                            builder.setReplace(put.replace);
                        },
-                       [&](RemovePool const& remove) { builder.setRemovePool(remove.pool.value); },
+                       [&](RemovePool const& remove) { builder.setRemovePool(Wire::toText(remove.pool.value)); },
                        [&](PutRoute const& put) {
                            Wire::writeRoute(builder.initPutRoute(), put.route);
                            builder.setReplace(put.replace);
                        },
-                       [&](RemoveRoute const& remove) { builder.setRemoveRoute(remove.route.value); },
+                       [&](RemoveRoute const& remove) { builder.setRemoveRoute(Wire::toText(remove.route.value)); },
                    },
             operation);
     }
     void write(Builder builder, SubmitEdit const& command)
     {
         auto group = builder.initSubmitEdit();
-        group.setId(command.id.value);
+        group.setId(Wire::toText(command.id.value));
         group.setBaseRevision(command.baseRevision.value);
-        group.setAuthor(command.author);
+        group.setAuthor(Wire::toText(command.author));
         group.setWallClockMilliseconds(command.wallClockMilliseconds);
         if (auto const* tables = std::get_if<CompleteTables>(&command.content)) {
             Wire::writeTables(group.initContent().initTables(), tables->pools, tables->routes);
@@ -144,7 +147,7 @@
         Wire::writeOrderKey(group.initKey(), command.key);
         Wire::writeDigest(group.initFingerprint(), command.fingerprint);
         Wire::writeRequestId(group.initRequestId(), command.requestId);
-        group.setHost(command.host.value);
+        group.setHost(Wire::toText(command.host.value));
         group.setIncarnation(command.incarnation.value);
     }
     void write(Builder builder, CompleteOrder const& command)
@@ -172,7 +175,7 @@
     {
         auto group = builder.initAddQuarantine();
         Wire::writeDigest(group.initFingerprint(), command.request.fingerprint);
-        group.setRoute(command.request.route.value);
+        group.setRoute(Wire::toText(command.request.route.value));
     }
     void write(Builder builder, LiftQuarantine const& command)
     {
--- a/Libraries/LibControl/SnapshotCodec.cpp
+++ b/Libraries/LibControl/SnapshotCodec.cpp
@@ -22,8 +22,8 @@
             auto problems = builder.initInvalid(listSize(invalid->problems));
             for (unsigned i = 0; i < problems.size(); ++i) {
                 problems[i].setKind(static_cast<std::uint8_t>(invalid->problems[i].kind));
-                problems[i].setSubject(invalid->problems[i].subject);
-                problems[i].setOther(invalid->problems[i].other);
+                problems[i].setSubject(Wire::toText(invalid->problems[i].subject));
+                problems[i].setOther(Wire::toText(invalid->problems[i].other));
             }
         }
     }
@@ -49,7 +49,7 @@
 
     void writeTable(Wire::SlotTable::Builder builder, Core::PoolName const& pool, SlotTable const& table)
     {
-        builder.setPool(pool.value);
+        builder.setPool(Wire::toText(pool.value));
         Wire::NameTable names;
         names.indexOf("");
         auto records = builder.initRecords(listSize(table.records()));
@@ -118,8 +118,8 @@
     for (unsigned i = 0; i < history.size(); ++i) {
         auto const& entry = content.history[i];
         history[i].setRevision(entry.revision.value);
-        history[i].setId(entry.id.value);
-        history[i].setAuthor(entry.author);
+        history[i].setId(Wire::toText(entry.id.value));
+        history[i].setAuthor(Wire::toText(entry.author));
         history[i].setWallClockMilliseconds(entry.wallClockMilliseconds);
         history[i].setPoolsAfter(entry.poolsAfter);
         history[i].setRoutesAfter(entry.routesAfter);
@@ -127,7 +127,7 @@
     auto known = root.initKnownEdits(listSize(content.known));
     for (unsigned i = 0; i < known.size(); ++i) {
         auto const& [id, edit] = content.known[i];
-        known[i].setId(id.value);
+        known[i].setId(Wire::toText(id.value));
         Wire::writeDigest(known[i].initContent(), edit.content);
         known[i].setRecordedAtNanoseconds(edit.recordedAt.count());
         writeOutcome(known[i].initOutcome(), edit.outcome);
@@ -143,7 +143,7 @@
         Wire::writeOrderKey(order.initKey(), key);
         Wire::writeDigest(order.initFingerprint(), record.fingerprint);
         Wire::writeRequestId(order.initRequestId(), record.requestId);
-        order.setHost(record.host.value);
+        order.setHost(Wire::toText(record.host.value));
         order.setIncarnation(record.incarnation.value);
         order.setPhase(static_cast<std::uint8_t>(record.phase));
         order.setRecordedAtNanoseconds(record.recordedAt.count());
@@ -186,13 +186,13 @@
     auto domains = root.initDrainedDomains(listSize(state.drainedDomains_));
     index = 0;
     for (auto const& domain : state.drainedDomains_)
-        domains.set(index++, domain.value);
+        domains.set(index++, Wire::toText(domain.value));
     auto quarantine = root.initQuarantine(listSize(state.quarantine_));
     index = 0;
     for (auto const& [fingerprint, entry] : state.quarantine_) {
         auto builder = quarantine[index++];
         Wire::writeDigest(builder.initFingerprint(), fingerprint);
-        builder.setRoute(entry.route.value);
+        builder.setRoute(Wire::toText(entry.route.value));
         builder.setAddedAtNanoseconds(entry.addedAt.count());
     }
 }
--- a/Libraries/LibControl/WireTypes.cpp
+++ b/Libraries/LibControl/WireTypes.cpp
@@ -14,8 +14,8 @@
         std::visit(Core::Overloaded {
                        [&](Routing::NoKey const&) { builder.setNone(); },
                        [&](Routing::KeyFromPathSegment const& key) { builder.setPathSegment(key.index); },
-                       [&](Routing::KeyFromQuery const& key) { builder.setQuery(key.parameter); },
-                       [&](Routing::KeyFromHeader const& key) { builder.setHeader(key.header); },
+                       [&](Routing::KeyFromQuery const& key) { builder.setQuery(toText(key.parameter)); },
+                       [&](Routing::KeyFromHeader const& key) { builder.setHeader(toText(key.header)); },
                    },
             source);
     }
@@ -41,7 +41,7 @@
 void writeNames(capnp::List<capnp::Text>::Builder builder, std::vector<std::string> const& names)
 {
     for (std::size_t i = 0; i < names.size(); ++i)
-        builder.set(static_cast<unsigned>(i), names[i]);
+        builder.set(static_cast<unsigned>(i), toText(names[i]));
 }
 
 std::vector<std::string> readNames(capnp::List<capnp::Text>::Reader reader, FieldReader& fields)
@@ -80,11 +80,11 @@
 
 void writeServer(Server::Builder builder, Routing::BackendServer const& server)
 {
-    builder.setName(server.name.value);
-    builder.setPool(server.pool.value);
-    builder.setAddress(server.endpoint.address);
+    builder.setName(toText(server.name.value));
+    builder.setPool(toText(server.pool.value));
+    builder.setAddress(toText(server.endpoint.address));
     builder.setPort(server.endpoint.port);
-    builder.setFailureDomain(server.failureDomain.value);
+    builder.setFailureDomain(toText(server.failureDomain.value));
     builder.setIncarnation(server.incarnation.value);
     builder.setSlots(server.slots);
     builder.setConnections(server.connections);
@@ -105,10 +105,10 @@
 
 void writeEntryHost(EntryHost::Builder builder, Routing::EntryHost const& host)
 {
-    builder.setName(host.name.value);
-    builder.setAddress(host.rpcEndpoint.address);
+    builder.setName(toText(host.name.value));
+    builder.setAddress(toText(host.rpcEndpoint.address));
     builder.setPort(host.rpcEndpoint.port);
-    builder.setFailureDomain(host.failureDomain.value);
+    builder.setFailureDomain(toText(host.failureDomain.value));
     builder.setIncarnation(host.incarnation.value);
     builder.setJoinedAt(host.joinedAt.value);
 }
@@ -124,7 +124,7 @@
 
 void writePool(Pool::Builder builder, Routing::PoolDefinition const& pool)
 {
-    builder.setName(pool.name.value);
+    builder.setName(toText(pool.name.value));
     builder.setKind(static_cast<std::uint8_t>(pool.kind));
     builder.setSlotCount(pool.slotCount);
     builder.setDispatchGroups(pool.dispatchGroups);
@@ -140,15 +140,15 @@
 
 void writeRoute(Route::Builder builder, Routing::RouteDefinition const& route)
 {
-    builder.setName(route.name.value);
-    builder.setPool(route.pool.value);
-    builder.setHost(route.host);
+    builder.setName(toText(route.name.value));
+    builder.setPool(toText(route.pool.value));
+    builder.setHost(toText(route.host));
     writeNames(builder.initMethods(static_cast<unsigned>(route.methods.size())), route.methods);
-    builder.setPathPrefix(route.pathPrefix);
+    builder.setPathPrefix(toText(route.pathPrefix));
     builder.setHasHeader(route.header.has_value());
     if (route.header) {
-        builder.setHeaderName(route.header->name);
-        builder.setHeaderValue(route.header->value);
+        builder.setHeaderName(toText(route.header->name));
+        builder.setHeaderValue(toText(route.header->value));
     }
     writeKeySource(builder.initKey(), route.key);
     builder.setRequestClass(static_cast<std::uint8_t>(route.requestClass));
@@ -199,9 +199,9 @@
 
 void writeOrderKey(OrderKey::Builder builder, Control::OrderKey const& key)
 {
-    builder.setRoute(key.route.value);
-    builder.setCaller(key.caller.value);
-    builder.setIdempotencyKey(kj::StringPtr(key.idempotencyKey).asBytes());
+    builder.setRoute(toText(key.route.value));
+    builder.setCaller(toText(key.caller.value));
+    builder.setIdempotencyKey(toData(key.idempotencyKey));
 }
 
 Control::OrderKey readOrderKey(OrderKey::Reader reader, FieldReader& fields)
@@ -213,8 +213,8 @@
 void writeAnswer(KeptAnswer::Builder builder, Control::KeptAnswer const& answer)
 {
     builder.setStatus(answer.status);
-    builder.setContentType(answer.contentType);
-    builder.setBody(kj::StringPtr(answer.body).asBytes());
+    builder.setContentType(toText(answer.contentType));
+    builder.setBody(toData(answer.body));
 }
 
 Control::KeptAnswer readAnswer(KeptAnswer::Reader reader, FieldReader& fields)
--- a/Libraries/LibControl/WireTypes.h
+++ b/Libraries/LibControl/WireTypes.h
@@ -48,6 +48,13 @@
     std::optional<DecodeError> error_;
 };
 
+/// The conversion from std::string in KJ ends at the first NUL, so two different keys could become one.
+inline kj::StringPtr toText(std::string const& text) { return { text.data(), text.size() }; }
+inline capnp::Data::Reader toData(std::string const& text)
+{
+    return { reinterpret_cast<kj::byte const*>(text.data()), text.size() };
+}
+
 /// Numbers the names of servers, so that slots refer to them by index.
 class NameTable {
 public:
