--- a/Libraries/LibProxy/HttpMessage.cpp
+++ b/Libraries/LibProxy/HttpMessage.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <variant>
 
 namespace Proxy {
@@ -100,7 +101,8 @@
         parser_->parser.emplace<ResponseParser>();
     parser_->visit([&](auto& parser) {
         parser.header_limit(maxHeadBytes);
-        parser.body_limit(boost::none);
+        // Not boost::none: Boost 1.74 compares the length with an empty optional, which rejects every body.
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
         parser.eager(false);
     });
 }
