--- a/Libraries/LibTelemetry/EventLog.h
+++ b/Libraries/LibTelemetry/EventLog.h
@@ -8,14 +8,11 @@
 #include <initializer_list>
 #include <memory>
 #include <mutex>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <variant>
 
-namespace log4cplus {
-class Logger;
-}
-
 namespace Telemetry {
 
 /// The value of a field of a log event.
@@ -102,6 +99,7 @@
     void reportSuppressed();
 
 private:
+    struct Output;
     struct Burst {
         Core::TimePoint start;
         std::uint32_t lines { 0 };
@@ -113,7 +111,7 @@
 
     EventLogSettings settings_;
     Core::Clock const& clock_;
-    std::unique_ptr<log4cplus::Logger> logger_;
+    std::unique_ptr<Output> output_;
     std::mutex mutex_;
     std::unordered_map<std::uint16_t, Burst> bursts_;
 };
--- a/Libraries/LibTelemetry/SpanWriter.h
+++ b/Libraries/LibTelemetry/SpanWriter.h
@@ -52,6 +52,7 @@
 private:
     explicit SpanWriter(SpanWriterSettings);
     void run();
+    bool openStream();
     void writeSpan(Span const&);
     void rotate();
 
--- a/Libraries/LibTelemetry/UsageAccount.h
+++ b/Libraries/LibTelemetry/UsageAccount.h
@@ -75,6 +75,8 @@
     std::optional<UsageBatch> pending_;
     std::vector<UsageBatch> unreported_;
     std::optional<UsageIoFailed> lastFailure_;
+    /// Wall-clock time in milliseconds.
+    std::int64_t lastMaintained_ { 0 };
 
     std::mutex threadMutex_;
     std::condition_variable wakeThread_;
--- a/Libraries/LibTelemetry/UsageStore.h
+++ b/Libraries/LibTelemetry/UsageStore.h
@@ -65,6 +65,7 @@
     Core::Result<Core::Void, UsageIoFailed> openFile(std::int64_t day);
     Core::Result<Core::Void, UsageIoFailed> truncateTornTail();
     Core::Result<Core::Void, UsageIoFailed> appendToOpenFile(std::string_view lines);
+    bool shouldCompact(FileName const&, std::span<FileName const>, std::int64_t nowMilliseconds);
     Core::Result<Core::Void, UsageIoFailed> compact(FileName const&, std::int64_t nowMilliseconds);
     Core::Result<Core::Void, UsageIoFailed> syncFolder() const;
     UsageIoFailed failure(std::string path);
