Add the Raft state machine and the write-ahead log

The state machine is deterministic; the log is checksummed, written in numbered batches with one fsync each, and refuses everything but a torn last batch.

--- a/Libraries/LibConsensus/Actions.h
+++ b/Libraries/LibConsensus/Actions.h
@@ -22,9 +22,10 @@
     LogIndex index;
     Term term;
 };
-/// Nothing was appended, so the proposal has certainly no effect. The hint may be out of date.
+/// Nothing was appended, so the proposal has certainly no effect.
 struct NotLeader {
-    std::optional<Core::HostName> leader;
+    /// Whom to ask instead. May be out of date; empty when unknown.
+    Core::HostName leader;
 };
 /// Another entry was committed in its place, so the proposal has certainly no effect.
 struct Superseded { };
--- a/Libraries/LibConsensus/Codec.cpp
+++ b/Libraries/LibConsensus/Codec.cpp
@@ -175,6 +175,7 @@
     {
         builder.setRound(body.round.value);
         builder.setCommitIndex(body.commitIndex.value);
+        builder.setIsReceiverVoter(body.isReceiverVoter);
     }
 
     void write(Wire::HeartbeatResponse::Builder builder, HeartbeatResponse const& body)
@@ -307,7 +308,8 @@
         }
         case Wire::Message::HEARTBEAT: {
             auto const body = reader.getHeartbeat();
-            return MessageBody { Heartbeat { { body.getRound() }, { body.getCommitIndex() } } };
+            return MessageBody { Heartbeat {
+                { body.getRound() }, { body.getCommitIndex() }, body.getIsReceiverVoter() } };
         }
         case Wire::Message::HEARTBEAT_RESPONSE: {
             auto const body = reader.getHeartbeatResponse();
--- a/Libraries/LibConsensus/Consensus.capnp
+++ b/Libraries/LibConsensus/Consensus.capnp
@@ -57,6 +57,7 @@
 struct Heartbeat {
   round @0 :UInt64;
   commitIndex @1 :UInt64;
+  isReceiverVoter @2 :Bool;
 }
 
 struct HeartbeatResponse {
--- a/Libraries/LibConsensus/Consensus.capnp.h
+++ b/Libraries/LibConsensus/Consensus.capnp.h
@@ -162,7 +162,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(90d80a3a223adc4d, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(90d80a3a223adc4d, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -971,6 +971,8 @@
 
   inline  ::uint64_t getCommitIndex() const;
 
+  inline bool getIsReceiverVoter() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1005,6 +1007,9 @@
   inline  ::uint64_t getCommitIndex();
   inline void setCommitIndex( ::uint64_t value);
 
+  inline bool getIsReceiverVoter();
+  inline void setIsReceiverVoter(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2353,6 +2358,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::getIsReceiverVoter() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getIsReceiverVoter() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setIsReceiverVoter(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeartbeatResponse::Reader::getRound() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- /dev/null
+++ b/Libraries/LibConsensus/Machine.cpp
@@ -0,0 +1,240 @@
+#include <LibConsensus/Machine.h>
+#include <LibCore/Hash.h>
+
+namespace Consensus {
+
+namespace {
+
+    LogIndex baseIndexOf(RecoveredState const& state)
+    {
+        return state.snapshot ? state.snapshot->metadata.index : LogIndex {};
+    }
+
+    Term baseTermOf(RecoveredState const& state) { return state.snapshot ? state.snapshot->metadata.term : Term {}; }
+
+    LogIndex lastIndexOf(RecoveredState const& state)
+    {
+        return state.entries.empty() ? baseIndexOf(state) : state.entries.back().index;
+    }
+
+    ConfigurationHistory configurationsOf(RecoveredState const& state)
+    {
+        ConfigurationHistory history;
+        if (state.snapshot)
+            history = { state.snapshot->metadata.configurationIndex, state.snapshot->metadata.configuration };
+        for (auto const& entry : state.entries) {
+            if (auto const* configuration = std::get_if<Configuration>(&entry.content))
+                history.add(entry.index, *configuration);
+        }
+        return history;
+    }
+
+} // namespace
+
+Node::Machine::Machine(Settings settings, RecoveredState state, std::uint64_t seed, Core::TimePoint now)
+    : settings_(std::move(settings))
+    , random_(seed)
+    , now_(now)
+    , term_(state.hardState.term)
+    , votedFor_(state.hardState.votedFor)
+    , log_(baseIndexOf(state), baseTermOf(state), state.entries)
+    , configurations_(configurationsOf(state))
+    , commitIndex_(baseIndexOf(state))
+    , snapshot_(state.snapshot)
+    , durability_(lastIndexOf(state))
+    // A host that restarts may have heard from the leader a moment ago, so it does not vote for a while either.
+    , lastLeaderContact_(now)
+    , receiver_(settings_.maxSnapshotBytes)
+    , snapshotThreshold_(settings_.snapshotInterval + random_.below(settings_.snapshotInterval / 4 + 1))
+{
+    resetElectionTimer();
+}
+
+Actions Node::Machine::step(Core::TimePoint now, Event event)
+{
+    actions_ = {};
+    auto const before = std::tuple(role_, term_, leader_);
+    now_ = std::max(now_, now);
+    if (role_ != Role::Halted)
+        runTimers();
+    std::visit([this](auto& kind) { handle(kind); }, event);
+    if (role_ == Role::Leader)
+        flushReads();
+
+    if (before != std::tuple(role_, term_, leader_))
+        actions_.roleChange = RoleChange { role_, term_, leader_ };
+    auto const lastSnapshot = pendingSnapshots_.empty() ? (snapshot_ ? snapshot_->metadata.index : LogIndex {})
+                                                        : pendingSnapshots_.back().snapshot.metadata.index;
+    actions_.isSnapshotDue = commitIndex_.value >= lastSnapshot.value + snapshotThreshold_;
+    actions_.wakeAt = electionDeadline_;
+    if (role_ == Role::Leader) {
+        auto const contact = quorumValue(now_, [](Progress const& peer) { return peer.contactAt(); });
+        actions_.wakeAt = std::min(nextHeartbeat_, contact + settings_.electionTimeoutMin + Core::Duration(1));
+        if (transfer_)
+            actions_.wakeAt = std::min(actions_.wakeAt, transfer_->deadline);
+    }
+    if (role_ == Role::Halted)
+        actions_.wakeAt = Core::TimePoint::max();
+    return std::move(actions_);
+}
+
+void Node::Machine::handle(MessageReceived& event)
+{
+    auto& message = event.message;
+    if (role_ == Role::Halted)
+        return;
+    if (message.clusterId != settings_.clusterId)
+        return refuse(message.from, MessageRefusal::WrongCluster);
+    if (message.to != settings_.host)
+        return refuse(message.from, MessageRefusal::WrongReceiver);
+    if (message.from == settings_.host)
+        return refuse(message.from, MessageRefusal::Malformed);
+    if (!adoptTerm(message))
+        return;
+    std::visit([&](auto& body) { handle(message.from, message.term, body); }, message.body);
+}
+
+void Node::Machine::handle(Persisted const& event)
+{
+    if (role_ == Role::Halted || !durability_.confirm(event.sequence))
+        return;
+    if (durability_.isDurable(hardStateSequence_)) {
+        std::ranges::move(heldMessages_, std::back_inserter(actions_.messages));
+        heldMessages_.clear();
+    }
+    while (!pendingSnapshots_.empty() && durability_.isDurable(pendingSnapshots_.front().sequence)) {
+        auto& pending = pendingSnapshots_.front().snapshot;
+        if (!snapshot_ || pending.metadata.index > snapshot_->metadata.index)
+            snapshot_ = std::move(pending);
+        pendingSnapshots_.pop_front();
+        compact();
+    }
+    switch (role_) {
+    case Role::Candidate:
+        if (durability_.isDurable(hardStateSequence_))
+            countVote(settings_.host);
+        break;
+    case Role::Leader:
+        advanceCommit();
+        break;
+    case Role::Follower:
+        if (leader_ && std::min(verified_, durability_.durableIndex()) > lastAcknowledged_)
+            acknowledge();
+        break;
+    default:
+        break;
+    }
+}
+
+void Node::Machine::handle(StorageFailed const&) { halt(); }
+
+void Node::Machine::handle(SnapshotTaken& event)
+{
+    auto const lastSnapshot = snapshot_ ? snapshot_->metadata.index : LogIndex {};
+    auto const term = log_.termAt(event.index);
+    if (role_ == Role::Halted || event.index > commitIndex_ || event.index <= lastSnapshot || !term || !event.data)
+        return;
+    auto const& configuration = configurations_.at(event.index);
+    Snapshot snapshot {
+        .metadata = {
+            .index = event.index,
+            .term = *term,
+            .configuration = configuration.configuration,
+            .configurationIndex = configuration.index,
+            .size = event.data->size(),
+            .checksum = Core::hash64(*event.data),
+        },
+        .data = event.data,
+    };
+    auto const sequence = persist({ .snapshot = snapshot });
+    pendingSnapshots_.push_back({ sequence, std::move(snapshot) });
+}
+
+void Node::Machine::compact()
+{
+    auto const index = snapshot_->metadata.index.value;
+    LogIndex const target { index > settings_.retainedEntries ? index - settings_.retainedEntries : 0 };
+    if (target <= log_.baseIndex())
+        return;
+    log_.compactTo(target);
+    configurations_.compactTo(target);
+}
+
+void Node::Machine::commitTo(LogIndex index)
+{
+    while (commitIndex_ < index) {
+        commitIndex_ = commitIndex_.next();
+        auto const& entry = log_.at(commitIndex_);
+        proposals_.resolve(entry, actions_.proposals);
+        if (role_ == Role::Leader)
+            uncommittedBytes_ -= std::min(uncommittedBytes_, flowBytes(entry));
+        actions_.committed.push_back(entry);
+    }
+}
+
+void Node::Machine::changeConfiguration(LogIndex index, Configuration configuration)
+{
+    configurations_.add(index, std::move(configuration));
+    actions_.configuration = configurations_.current();
+}
+
+PersistSequence Node::Machine::persist(PersistRequest request)
+{
+    request.sequence = durability_.begin();
+    durability_.recordWrite(request.sequence, log_.lastIndex());
+    actions_.persist.push_back(std::move(request));
+    return actions_.persist.back().sequence;
+}
+
+void Node::Machine::persistHardState()
+{
+    hardStateSequence_ = persist({ .hardState = HardState { term_, votedFor_ } });
+}
+
+void Node::Machine::send(Core::HostName const& to, MessageBody body)
+{
+    Message message { settings_.clusterId, settings_.host, to, term_, std::move(body) };
+    auto& queue = durability_.isDurable(hardStateSequence_) ? actions_.messages : heldMessages_;
+    queue.push_back(std::move(message));
+}
+
+void Node::Machine::refuse(Core::HostName const& from, MessageRefusal reason)
+{
+    actions_.refused.push_back({ from, reason });
+}
+
+Status Node::Machine::status() const
+{
+    Status status {
+        .role = role_,
+        .term = term_,
+        .leader = leader_,
+        .commitIndex = commitIndex_,
+        .lastIndex = log_.lastIndex(),
+        .durableIndex = durability_.durableIndex(),
+        .firstIndex = log_.baseIndex().next(),
+        .snapshotIndex = snapshot_ ? snapshot_->metadata.index : LogIndex {},
+        .configuration = configurations_.current(),
+        .isConfigurationCommitted = configurations_.currentIndex() <= commitIndex_,
+        .isLeaderReady = isLeaderReady(),
+    };
+    for (auto const& [host, peer] : peers_)
+        status.peers.push_back({ host, configurations_.current().isVoter(host), peer.state(), peer.match(),
+            peer.contactAt(), peer.hasLostData() });
+    return status;
+}
+
+std::optional<Core::TimePoint> Node::Machine::authorityUntil() const
+{
+    /// What remains of an interval between two clocks that each run up to 1 % wrong.
+    constexpr std::int64_t driftPercent = 98;
+    if (role_ != Role::Leader || (transfer_ && transfer_->isSent))
+        return std::nullopt;
+    auto const contact = quorumValue(
+        now_, [](Progress const& peer) { return peer.hasContact() ? peer.contactAt() : Core::TimePoint {}; });
+    if (contact == Core::TimePoint {})
+        return std::nullopt;
+    return contact + settings_.electionTimeoutMin * driftPercent / 100;
+}
+
+} // namespace Consensus
--- /dev/null
+++ b/Libraries/LibConsensus/MachineLeader.cpp
@@ -0,0 +1,340 @@
+#include <LibConsensus/Machine.h>
+
+namespace Consensus {
+
+void Node::Machine::becomeLeader()
+{
+    role_ = Role::Leader;
+    leader_ = settings_.host;
+    votes_.clear();
+    peers_.clear();
+    round_ = {};
+    startedRounds_.clear();
+    uncommittedBytes_ = 0;
+    for (auto index = commitIndex_.next(); index <= log_.lastIndex(); index = index.next())
+        uncommittedBytes_ += flowBytes(log_.at(index));
+    followConfiguration();
+    ownTermStart_ = log_.lastIndex().next();
+    startRound();
+    appendAsLeader({ LogEntry { .content = Noop {} } });
+}
+
+void Node::Machine::appendAsLeader(std::vector<LogEntry> entries)
+{
+    for (auto& entry : entries) {
+        entry.term = term_;
+        entry.index = log_.lastIndex().next();
+        uncommittedBytes_ += flowBytes(entry);
+        log_.append(entry);
+        if (auto const* configuration = std::get_if<Configuration>(&entry.content)) {
+            changeConfiguration(entry.index, *configuration);
+            followConfiguration();
+        }
+    }
+    persist({ .entries = std::move(entries) });
+    replicateToAll();
+    // A smaller configuration may have made a quorum of what is there.
+    advanceCommit();
+}
+
+void Node::Machine::followConfiguration()
+{
+    auto const& configuration = configurations_.current();
+    std::erase_if(peers_, [&](auto const& peer) { return !configuration.isMember(peer.first); });
+    for (auto const* members : { &configuration.voters, &configuration.learners }) {
+        for (auto const& member : *members) {
+            if (member.name != settings_.host)
+                peers_.try_emplace(member.name, log_.lastIndex(), now_);
+        }
+    }
+}
+
+void Node::Machine::handle(Propose& event)
+{
+    auto const isAccepting = role_ == Role::Leader && !transfer_;
+    auto const hint = transfer_ ? transfer_->target : leader_.value_or(Core::HostName {});
+    auto bytes = uncommittedBytes_;
+    std::vector<LogEntry> entries;
+    for (auto& proposal : event.proposals) {
+        if (!isAccepting) {
+            actions_.proposals.push_back({ proposal.token, NotLeader { hint } });
+            continue;
+        }
+        bytes += proposal.payload.size();
+        if (bytes > settings_.maxUncommittedBytes) {
+            actions_.proposals.push_back({ proposal.token, Overloaded {} });
+            continue;
+        }
+        proposals_.add({ log_.lastIndex().value + entries.size() + 1 }, term_, proposal.token);
+        entries.push_back({ .content = Command { std::move(proposal.payload) } });
+    }
+    if (!entries.empty())
+        appendAsLeader(std::move(entries));
+}
+
+void Node::Machine::handle(RequestChange const& event)
+{
+    auto const refuseChange = [&](ChangeRefusal reason) {
+        actions_.proposals.push_back({ event.token, ChangeRefused { reason } });
+    };
+    if (role_ != Role::Leader) {
+        actions_.proposals.push_back({ event.token, NotLeader { leader_.value_or(Core::HostName {}) } });
+        return;
+    }
+    if (transfer_)
+        return refuseChange(ChangeRefusal::Transferring);
+    // Without an entry of its own term, a leader may not know a configuration that an earlier leader committed.
+    if (!isLeaderReady())
+        return refuseChange(ChangeRefusal::LeaderNotReady);
+    if (configurations_.currentIndex() > commitIndex_)
+        return refuseChange(ChangeRefusal::ChangeInProgress);
+    auto next = configurations_.current().with(event.change);
+    if (next.isError())
+        return refuseChange(next.error());
+    auto const* promotion = std::get_if<PromoteLearner>(&event.change);
+    if (promotion && !isCaughtUp(promotion->host))
+        return refuseChange(ChangeRefusal::NotCaughtUp);
+    proposals_.add(log_.lastIndex().next(), term_, event.token);
+    appendAsLeader({ LogEntry { .content = std::move(next).value() } });
+}
+
+bool Node::Machine::isCaughtUp(Core::HostName const& host) const
+{
+    auto const peer = peers_.find(host);
+    if (peer == peers_.end() || peer->second.match().value == 0 || !peer->second.hasContact())
+        return false;
+    return peer->second.match().value + settings_.maxPromotionLag >= log_.lastIndex().value
+        && now_ - peer->second.contactAt() <= settings_.electionTimeoutMin;
+}
+
+void Node::Machine::handle(RequestRead const& event)
+{
+    if (role_ == Role::Leader)
+        return reads_.add(event.tokens);
+    for (auto const token : event.tokens)
+        actions_.reads.push_back({ token, NotLeader { leader_.value_or(Core::HostName {}) } });
+}
+
+void Node::Machine::flushReads()
+{
+    if (!reads_.hasWaiting() || !isLeaderReady())
+        return;
+    auto const confirmed = quorumValue(round_, [](Progress const& peer) { return peer.ackedRound(); });
+    if (round_.value - confirmed.value >= settings_.maxReadRounds)
+        return;
+    startRound();
+    reads_.start(round_, commitIndex_);
+    confirmReads();
+}
+
+void Node::Machine::confirmReads()
+{
+    auto const confirmed = quorumValue(round_, [](Progress const& peer) { return peer.ackedRound(); });
+    reads_.confirm(confirmed, actions_.reads);
+}
+
+void Node::Machine::startRound()
+{
+    round_ = round_.next();
+    startedRounds_.push_back({ round_, now_ });
+    // Older rounds prove nothing any more.
+    while (now_ - startedRounds_.front().startedAt > settings_.electionTimeoutMin)
+        startedRounds_.pop_front();
+    nextHeartbeat_ = now_ + settings_.heartbeatInterval;
+    for (auto const& [host, peer] : peers_) {
+        auto const isVoter = configurations_.current().isVoter(host);
+        send(host, Heartbeat { round_, std::min(commitIndex_, peer.match()), isVoter });
+    }
+}
+
+Progress* Node::Machine::progressOf(Core::HostName const& host)
+{
+    auto const peer = peers_.find(host);
+    return role_ != Role::Leader || peer == peers_.end() ? nullptr : &peer->second;
+}
+
+void Node::Machine::recordContact(Progress& peer, Round round)
+{
+    auto const started = std::ranges::lower_bound(startedRounds_, round, {}, &StartedRound::round);
+    auto const isKnown = started != startedRounds_.end() && started->round == round;
+    peer.recordContact(round, isKnown ? std::optional(started->startedAt) : std::nullopt);
+    confirmReads();
+}
+
+void Node::Machine::handle(Core::HostName const& from, Term, HeartbeatResponse const& response)
+{
+    auto* peer = progressOf(from);
+    if (!peer)
+        return;
+    if (response.round > round_ || response.receivedIndex > log_.lastIndex() || response.matchIndex > log_.lastIndex())
+        return refuse(from, MessageRefusal::Malformed);
+    recordContact(*peer, response.round);
+    if (response.matchIndex > peer->match())
+        peer->recordAccepted(response.matchIndex, response.receivedIndex);
+    peer->recordHeartbeat(response.round, response.receivedIndex);
+    replicate(from, *peer);
+    advanceCommit();
+    advanceTransfer();
+}
+
+void Node::Machine::handle(Core::HostName const& from, Term, AppendResponse const& response)
+{
+    auto* peer = progressOf(from);
+    if (!peer)
+        return;
+    if (response.round > round_ || response.receivedIndex > log_.lastIndex() || response.matchIndex > log_.lastIndex())
+        return refuse(from, MessageRefusal::Malformed);
+    recordContact(*peer, response.round);
+    switch (response.outcome) {
+    case AppendOutcome::DataLost:
+        peer->markDataLost();
+        return refuse(from, MessageRefusal::VoterLostData);
+    case AppendOutcome::Mismatch:
+        peer->recordMismatch(response.rejectedIndex, log_.lastIndexWithTermUpTo(response.hintIndex, response.hintTerm));
+        break;
+    case AppendOutcome::Accepted:
+        peer->recordAccepted(response.matchIndex, response.receivedIndex);
+        break;
+    }
+    replicate(from, *peer);
+    advanceCommit();
+    advanceTransfer();
+}
+
+void Node::Machine::handle(Core::HostName const& from, Term, SnapshotResponse const& response)
+{
+    auto* peer = progressOf(from);
+    if (!peer)
+        return;
+    if (response.round > round_)
+        return refuse(from, MessageRefusal::Malformed);
+    recordContact(*peer, response.round);
+    if (peer->state() != PeerState::Snapshot)
+        return;
+    auto& transfer = peer->transfer();
+    if (transfer.snapshot.metadata.index != response.snapshotIndex)
+        return;
+    transfer.offset = std::min(response.nextOffset, transfer.snapshot.metadata.size);
+    // After the last byte the acknowledgment follows once the snapshot is durable. An empty chunk, sent with a later
+    // heartbeat, asks again.
+    if (transfer.offset == transfer.snapshot.metadata.size)
+        transfer.sentIn = round_;
+    else
+        transfer.sentIn.reset();
+    replicate(from, *peer);
+}
+
+void Node::Machine::replicateToAll()
+{
+    for (auto& [host, peer] : peers_)
+        replicate(host, peer);
+}
+
+void Node::Machine::replicate(Core::HostName const& host, Progress& peer)
+{
+    if (peer.hasLostData())
+        return;
+    while (peer.maySend(log_.lastIndex(), settings_))
+        sendAppend(host, peer);
+    if (peer.state() == PeerState::Snapshot && !peer.transfer().sentIn)
+        sendChunk(host, peer);
+}
+
+void Node::Machine::sendAppend(Core::HostName const& host, Progress& peer)
+{
+    LogIndex const previous { peer.next().value - 1 };
+    auto const previousTerm = log_.termAt(previous);
+    if (!previousTerm) {
+        peer.beginSnapshot(*snapshot_);
+        return;
+    }
+    AppendRequest request {
+        .round = round_,
+        .previousIndex = previous,
+        .previousTerm = *previousTerm,
+        .commitIndex = commitIndex_,
+        .isReceiverVoter = configurations_.current().isVoter(host),
+        .entries = log_.slice(peer.next(), settings_.maxBytesPerAppend),
+    };
+    peer.recordSent(request.entries, round_);
+    send(host, std::move(request));
+}
+
+void Node::Machine::sendChunk(Core::HostName const& host, Progress& peer)
+{
+    auto& transfer = peer.transfer();
+    SnapshotChunk chunk {
+        .round = round_,
+        .metadata = transfer.snapshot.metadata,
+        .isReceiverVoter = configurations_.current().isVoter(host),
+        .offset = transfer.offset,
+        .data = transfer.snapshot.data->substr(transfer.offset, settings_.snapshotChunkBytes),
+    };
+    transfer.sentIn = round_;
+    send(host, std::move(chunk));
+}
+
+void Node::Machine::advanceCommit()
+{
+    if (role_ != Role::Leader)
+        return;
+    auto const candidate = quorumValue(durability_.durableIndex(), [](Progress const& peer) { return peer.match(); });
+    // Entries of earlier terms are committed only together with one of this term: a later leader could replace them
+    // although they are on a majority.
+    if (candidate <= commitIndex_ || log_.termAt(candidate) != term_)
+        return;
+    commitTo(candidate);
+    if (!isVoter() && configurations_.currentIndex() <= commitIndex_)
+        resignAfterRemoval();
+}
+
+void Node::Machine::resignAfterRemoval()
+{
+    if (auto const successor = mostAdvancedVoter())
+        send(*successor, TimeoutNow {});
+    becomeFollower(term_, std::nullopt);
+}
+
+std::optional<Core::HostName> Node::Machine::mostAdvancedVoter() const
+{
+    std::optional<Core::HostName> best;
+    LogIndex bestMatch;
+    for (auto const& [host, peer] : peers_) {
+        auto const isAlive = now_ - peer.contactAt() <= settings_.electionTimeoutMin;
+        if (!configurations_.current().isVoter(host) || !isAlive || (best && peer.match() <= bestMatch))
+            continue;
+        best = host;
+        bestMatch = peer.match();
+    }
+    return best;
+}
+
+void Node::Machine::handle(RequestTransfer const& event)
+{
+    if (role_ != Role::Leader) {
+        actions_.transfer = TransferOutcome::NotLeader;
+        return;
+    }
+    if (transfer_)
+        return;
+    auto const target = event.target ? event.target : mostAdvancedVoter();
+    if (!target || *target == settings_.host || !configurations_.current().isVoter(*target)) {
+        actions_.transfer = TransferOutcome::NoTarget;
+        return;
+    }
+    transfer_ = LeadershipTransfer { *target, now_ + settings_.electionTimeoutMax };
+    advanceTransfer();
+}
+
+void Node::Machine::advanceTransfer()
+{
+    if (role_ != Role::Leader || !transfer_ || transfer_->isSent)
+        return;
+    auto const* peer = progressOf(transfer_->target);
+    if (!peer || peer->match() < log_.lastIndex())
+        return;
+    transfer_->isSent = true;
+    send(transfer_->target, TimeoutNow {});
+}
+
+} // namespace Consensus
--- a/Libraries/LibConsensus/Message.h
+++ b/Libraries/LibConsensus/Message.h
@@ -30,6 +30,9 @@
     Round round;
     /// Never beyond what the receiver has acknowledged.
     LogIndex commitIndex;
+    /// The role of the receiver in the leader's configuration. A host without any data refuses to act as a voter, since
+    /// it may have voted and acknowledged entries before it lost its disk.
+    bool isReceiverVoter { false };
 
     bool operator==(Heartbeat const&) const = default;
 };
@@ -48,8 +51,6 @@
     LogIndex previousIndex;
     Term previousTerm;
     LogIndex commitIndex;
-    /// The role of the receiver in the leader's configuration. A host without any data refuses to act as a voter, since
-    /// it may have voted and acknowledged entries before it lost its disk.
     bool isReceiverVoter { false };
     std::vector<LogEntry> entries;
 
--- a/Libraries/LibConsensus/Settings.h
+++ b/Libraries/LibConsensus/Settings.h
@@ -22,8 +22,8 @@
     /// Bounds for each peer on what was sent and is not yet acknowledged as durable.
     std::size_t maxAppendsInFlight { 64 };
     std::size_t maxBytesInFlight { std::size_t { 8 } << 20 };
-    /// New proposals are refused beyond this.
-    std::size_t maxUncommittedBytes { std::size_t { 64 } << 20 };
+    /// New proposals are refused beyond this. Must be below half of `maxEncodedBytes`, since one entry may be as large.
+    std::size_t maxUncommittedBytes { std::size_t { 24 } << 20 };
     /// Reads share a heartbeat round when this many rounds wait for their quorum.
     std::uint64_t maxReadRounds { 8 };
     std::size_t snapshotChunkBytes { std::size_t { 256 } << 10 };
--- /dev/null
+++ b/Libraries/LibStorage/FramedFile.cpp
@@ -0,0 +1,56 @@
+#include <LibCore/Hash.h>
+#include <LibStorage/Bytes.h>
+#include <LibStorage/FramedFile.h>
+
+namespace Storage {
+
+namespace {
+
+    constexpr std::uint64_t frameMagic = 0x454d415246485350;
+    constexpr std::uint32_t frameVersion = 1;
+
+} // namespace
+
+std::string encodeFrame(std::string_view payload)
+{
+    std::string bytes;
+    putInteger(bytes, frameMagic);
+    putInteger(bytes, frameVersion);
+    putInteger(bytes, std::uint64_t { payload.size() });
+    putInteger(bytes, Core::hash64(payload, frameVersion));
+    bytes += payload;
+    return bytes;
+}
+
+Core::Result<std::string_view, StoreError> decodeFrame(
+    std::string_view bytes, std::string const& file, CorruptionKind kind)
+{
+    ByteReader reader(bytes);
+    auto const magic = reader.integer<std::uint64_t>();
+    auto const version = reader.integer<std::uint32_t>();
+    auto const length = reader.integer<std::uint64_t>();
+    auto const checksum = reader.integer<std::uint64_t>();
+    if (!checksum || magic != frameMagic)
+        return StoreError { Corruption { kind, file, 0 } };
+    if (version != frameVersion)
+        return StoreError { UnsupportedVersion { file, *version } };
+    auto const payload = reader.rest();
+    auto const payloadOffset = bytes.size() - payload.size();
+    if (payload.size() != *length || Core::hash64(payload, frameVersion) != checksum)
+        return StoreError { Corruption { kind, file, payloadOffset } };
+    return payload;
+}
+
+Core::Result<Core::Void, DiskError> writeFileAtomically(
+    DiskInterface& disk, std::string const& file, std::string_view bytes)
+{
+    auto const temporary = file + std::string(temporarySuffix);
+    auto output = TRY(disk.open(temporary, true));
+    TRY(output->append(bytes));
+    TRY(output->sync());
+    TRY(disk.rename(temporary, file));
+    TRY(disk.syncDirectory());
+    return Core::Void {};
+}
+
+} // namespace Storage
--- /dev/null
+++ b/Libraries/LibStorage/Record.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <LibStorage/Bytes.h>
+
+#include <vector>
+
+namespace Storage {
+
+/// Kinds of records in the write-ahead log. The numbers are stored.
+enum class RecordType : std::uint8_t {
+    HardState = 1,
+    Entry = 2,
+    /// A snapshot took the place of all entries before: index and term of its last entry.
+    Reset = 3,
+    /// First record of each file: index and term of the last entry before it.
+    Continue = 4,
+};
+
+/// Version of the log files and their records.
+inline constexpr std::uint16_t logVersion = 1;
+/// Magic number, version, type, flags, payload length, batch number, payload checksum, header checksum.
+inline constexpr std::size_t recordHeaderBytes = 4 + 2 + 1 + 1 + 4 + 8 + 8 + 8;
+/// Magic number, version, padding, file number, number of the first batch, checksum.
+inline constexpr std::size_t fileHeaderBytes = 8 + 2 + 6 + 8 + 8 + 8;
+
+/// Records that are written with one write and one fsync. Batches are numbered through all files of the log, so that
+/// damage can be told from a torn write: a batch is only started once the one before is durable.
+class Batch {
+public:
+    void add(RecordType, std::string payload);
+    bool isEmpty() const { return records_.empty(); }
+    /// The bytes of all records. The checksums depend on the file, so that misplaced records are not taken for valid.
+    std::string encode(std::uint64_t fileNumber, std::uint64_t batchNumber) const;
+
+private:
+    struct Item {
+        RecordType type;
+        std::string payload;
+    };
+    std::vector<Item> records_;
+};
+
+std::string encodeFileHeader(std::uint64_t fileNumber, std::uint64_t firstBatch);
+
+struct Record {
+    RecordType type { RecordType::Entry };
+    std::uint64_t offset { 0 };
+    std::string_view payload;
+};
+
+/// What one file of the log contains. Views point into the scanned bytes.
+struct FileScan {
+    /// Set when the header is of another version; nothing else is then.
+    std::optional<std::uint32_t> unsupportedVersion;
+    bool isHeaderSound { false };
+    std::uint64_t firstBatch { 0 };
+    std::uint64_t batchCount { 0 };
+    /// Records of complete batches.
+    std::vector<Record> records;
+    /// End of the last complete batch.
+    std::uint64_t soundEnd { 0 };
+    /// Where the first byte is that does not belong to a sound record; empty if the file ends with a complete batch.
+    std::optional<std::uint64_t> damageOffset;
+    /// A sound record of a later batch follows the damage, so the damaged part had been durable.
+    bool isDamageFollowed { false };
+};
+
+FileScan scanFile(std::string_view bytes, std::uint64_t fileNumber);
+
+} // namespace Storage
--- /dev/null
+++ b/Libraries/LibStorage/Store.cpp
@@ -0,0 +1,511 @@
+#include <LibConsensus/Codec.h>
+#include <LibCore/Hash.h>
+#include <LibStorage/FramedFile.h>
+#include <LibStorage/LogReplay.h>
+#include <LibStorage/Store.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
+
+namespace Storage {
+
+namespace {
+
+    constexpr std::string_view identityFile = "identity";
+    /// The identity of a store that is being made. Renamed to `identity` once everything else is durable.
+    constexpr std::string_view creatingFile = "creating";
+    constexpr std::string_view healthyFile = "healthy";
+    /// `healthy` is renamed to this after a failure. It needs no space, and is seen by a process that starts while the
+    /// page cache still holds data that is not on the disk. After a restart of the host only the disk counts.
+    constexpr std::string_view failedFile = "failed";
+    constexpr std::string_view logPrefix = "log-";
+    constexpr std::string_view snapshotPrefix = "snapshot-";
+    constexpr std::size_t numberDigits = 16;
+
+    std::string numberedName(std::string_view prefix, std::uint64_t number)
+    {
+        std::array<char, numberDigits> digits {};
+        auto const result = std::to_chars(digits.begin(), digits.end(), number, 16);
+        std::string const text(digits.begin(), result.ptr);
+        return std::string(prefix) + std::string(numberDigits - text.size(), '0') + text;
+    }
+
+    std::vector<std::uint64_t> numbersOf(std::vector<std::string> const& names, std::string_view prefix)
+    {
+        std::vector<std::uint64_t> numbers;
+        for (auto const& name : names) {
+            if (!name.starts_with(prefix) || name.size() != prefix.size() + numberDigits)
+                continue;
+            std::uint64_t number = 0;
+            auto const* end = name.data() + name.size();
+            auto const result = std::from_chars(name.data() + prefix.size(), end, number, 16);
+            if (result.ec == std::errc {} && result.ptr == end)
+                numbers.push_back(number);
+        }
+        return numbers;
+    }
+
+    bool contains(std::vector<std::string> const& names, std::string_view name)
+    {
+        return std::ranges::find(names, name) != names.end();
+    }
+
+    /// Other files in the directory are left alone.
+    bool isOwnFile(std::string_view name)
+    {
+        if (name.ends_with(temporarySuffix))
+            name.remove_suffix(temporarySuffix.size());
+        return name.starts_with(logPrefix) || name.starts_with(snapshotPrefix) || name == identityFile
+            || name == creatingFile || name == healthyFile || name == failedFile;
+    }
+
+    /// After these the page cache may differ from the disk.
+    bool leavesDoubt(StoreError const& error)
+    {
+        auto const* disk = std::get_if<DiskError>(&error);
+        return disk
+            && (disk->operation == DiskOperation::Write || disk->operation == DiskOperation::Truncate
+                || disk->operation == DiskOperation::Sync || disk->operation == DiskOperation::SyncDirectory);
+    }
+
+    std::string encodeIdentity(StoreSettings const& settings)
+    {
+        std::string payload;
+        putInteger(payload, static_cast<std::uint32_t>(settings.clusterId.value.size()));
+        payload += settings.clusterId.value;
+        payload += settings.host.value;
+        return encodeFrame(payload);
+    }
+
+    Core::Result<Core::Void, StoreError> checkIdentity(std::string_view bytes, StoreSettings const& settings)
+    {
+        std::string const file(identityFile);
+        auto const payload = TRY(decodeFrame(bytes, file, CorruptionKind::DamagedIdentity));
+        ByteReader reader(payload);
+        auto const length = reader.integer<std::uint32_t>();
+        auto const cluster = reader.take(length.value_or(0));
+        if (!length || !cluster)
+            return StoreError { Corruption { CorruptionKind::DamagedIdentity, file, 0 } };
+        Core::ClusterId const foundCluster { std::string(*cluster) };
+        Core::HostName const foundHost { std::string(reader.rest()) };
+        if (foundCluster != settings.clusterId || foundHost != settings.host)
+            return StoreError { IdentityMismatch { settings.clusterId, foundCluster, settings.host, foundHost } };
+        return Core::Void {};
+    }
+
+    std::string encodeSnapshot(Consensus::Snapshot const& snapshot)
+    {
+        auto const metadata = Consensus::encodeSnapshotMetadata(snapshot.metadata);
+        std::string payload;
+        putInteger(payload, static_cast<std::uint32_t>(metadata.size()));
+        payload += metadata;
+        payload += *snapshot.data;
+        return encodeFrame(payload);
+    }
+
+    Core::Result<Consensus::Snapshot, StoreError> decodeSnapshot(std::string_view bytes, std::string const& file)
+    {
+        StoreError const damaged { Corruption { CorruptionKind::DamagedSnapshot, file, 0 } };
+        auto const payload = TRY(decodeFrame(bytes, file, CorruptionKind::DamagedSnapshot));
+        ByteReader reader(payload);
+        auto const length = reader.integer<std::uint32_t>();
+        auto const encoded = reader.take(length.value_or(0));
+        if (!length || !encoded)
+            return damaged;
+        auto metadata = Consensus::decodeSnapshotMetadata(*encoded);
+        auto const data = reader.rest();
+        if (metadata.isError() || metadata.value().size != data.size()
+            || metadata.value().checksum != Core::hash64(data))
+            return damaged;
+        return Consensus::Snapshot { std::move(metadata).value(), std::make_shared<std::string const>(data) };
+    }
+
+    /// Turns the error of a disk operation into one of the store.
+    template <typename T> Core::Result<T, StoreError> lifted(Core::Result<T, DiskError> result)
+    {
+        if (result.isError())
+            return StoreError { std::move(result).error() };
+        return std::move(result).value();
+    }
+
+    Core::Result<std::unique_ptr<DirectoryLock>, StoreError> takeLock(DiskInterface& disk)
+    {
+        auto lock = disk.lock();
+        if (!lock.isError())
+            return std::move(lock).value();
+        if (lock.error().errorNumber == EWOULDBLOCK)
+            return StoreError { DirectoryInUse {} };
+        if (lock.error().errorNumber == ENOENT)
+            return StoreError { NotInitialized {} };
+        return StoreError { std::move(lock).error() };
+    }
+
+} // namespace
+
+class Store::Engine {
+public:
+    Engine(DiskInterface& disk, StoreSettings settings)
+        : disk_(disk)
+        , settings_(std::move(settings))
+    {
+    }
+
+    Core::Result<Core::Void, StoreError> create(Consensus::RecoveredState const&);
+    Core::Result<Consensus::RecoveredState, StoreError> open(RecoveryReport&);
+    Core::Result<Consensus::PersistSequence, StoreError> persist(std::span<Consensus::PersistRequest const>);
+    std::uint64_t bytesWritten() const { return bytesWritten_; }
+
+private:
+    struct LogFile {
+        std::uint64_t number { 0 };
+        /// No live entry of earlier files lies after this index.
+        Consensus::LogIndex firstPrevious;
+    };
+
+    Core::Result<Consensus::RecoveredState, StoreError> recover(RecoveryReport&);
+    void markFailed();
+    Core::Result<Core::Void, StoreError> checkFiles(std::vector<std::string> const& names);
+    Core::Result<std::optional<Consensus::Snapshot>, StoreError> readSnapshot(std::vector<std::string> const& names);
+    Core::Result<Core::Void, StoreError> readLog(std::vector<std::string> const& names, LogReplay&, RecoveryReport&);
+    Core::Result<Core::Void, StoreError> write(std::span<Consensus::PersistRequest const>);
+    Core::Result<Core::Void, StoreError> flush();
+    Core::Result<Core::Void, StoreError> startFile();
+    Core::Result<Core::Void, StoreError> writeSnapshot(Consensus::Snapshot const&);
+    Core::Result<Core::Void, StoreError> removeObsolete();
+    void add(Consensus::PersistRequest const&);
+
+    DiskInterface& disk_;
+    StoreSettings settings_;
+    std::unique_ptr<DirectoryLock> lock_;
+    std::optional<StoreError> failure_;
+    std::uint64_t bytesWritten_ { 0 };
+
+    std::unique_ptr<DiskFile> file_;
+    std::uint64_t fileSize_ { 0 };
+    std::vector<LogFile> files_;
+    std::uint64_t nextBatch_ { 1 };
+    Batch batch_;
+    /// State with the records of `batch_` and without them.
+    Consensus::HardState hardState_;
+    LogPosition end_;
+    Consensus::HardState durableHardState_;
+    LogPosition durableEnd_;
+    std::vector<Consensus::LogIndex> snapshots_;
+};
+
+Core::Result<Core::Void, StoreError> Store::Engine::create(Consensus::RecoveredState const& state)
+{
+    TRY(lifted(disk_.createDirectory()));
+    lock_ = TRY(takeLock(disk_));
+    auto const names = TRY(lifted(disk_.list()));
+    if (contains(names, identityFile))
+        return StoreError { AlreadyInitialized {} };
+    auto const hasData = !numbersOf(names, logPrefix).empty() || !numbersOf(names, snapshotPrefix).empty();
+    if (hasData && !contains(names, creatingFile))
+        return StoreError { Corruption { CorruptionKind::DamagedIdentity, std::string(identityFile), 0 } };
+    // What a creation that was interrupted left behind.
+    for (auto const& name : names) {
+        if (isOwnFile(name) && name != creatingFile)
+            TRY(lifted(disk_.remove(name)));
+    }
+    TRY(lifted(writeFileAtomically(disk_, std::string(creatingFile), encodeIdentity(settings_))));
+    TRY(lifted(writeFileAtomically(disk_, std::string(healthyFile), {})));
+
+    Consensus::PersistRequest request { .hardState = state.hardState, .entries = state.entries };
+    if (state.snapshot) {
+        TRY(writeSnapshot(*state.snapshot));
+        end_ = { state.snapshot->metadata.index, state.snapshot->metadata.term };
+        durableEnd_ = end_;
+    }
+    TRY(write(std::span(&request, 1)));
+    TRY(lifted(disk_.rename(std::string(creatingFile), std::string(identityFile))));
+    TRY(lifted(disk_.syncDirectory()));
+    return Core::Void {};
+}
+
+Core::Result<Core::Void, StoreError> Store::Engine::checkFiles(std::vector<std::string> const& names)
+{
+    if (!contains(names, identityFile)) {
+        auto const isEmpty = numbersOf(names, logPrefix).empty() && numbersOf(names, snapshotPrefix).empty();
+        if (isEmpty || contains(names, creatingFile))
+            return StoreError { NotInitialized {} };
+        return StoreError { Corruption { CorruptionKind::DamagedIdentity, std::string(identityFile), 0 } };
+    }
+    TRY(checkIdentity(TRY(lifted(disk_.read(std::string(identityFile)))), settings_));
+    if (contains(names, failedFile))
+        return StoreError { FailedEarlier {} };
+    if (!contains(names, healthyFile))
+        return StoreError { Corruption { CorruptionKind::DamagedIdentity, std::string(healthyFile), 0 } };
+    for (auto const& name : names) {
+        if (isOwnFile(name) && name.ends_with(temporarySuffix))
+            TRY(lifted(disk_.remove(name)));
+    }
+    return Core::Void {};
+}
+
+Core::Result<std::optional<Consensus::Snapshot>, StoreError> Store::Engine::readSnapshot(
+    std::vector<std::string> const& names)
+{
+    auto const numbers = numbersOf(names, snapshotPrefix);
+    for (auto const number : numbers)
+        snapshots_.push_back({ number });
+    if (numbers.empty())
+        return std::optional<Consensus::Snapshot> {};
+    // The log may have been shortened up to the newest one, so an older one cannot take its place.
+    auto const file = numberedName(snapshotPrefix, numbers.back());
+    auto snapshot = TRY(decodeSnapshot(TRY(lifted(disk_.read(file))), file));
+    if (snapshot.metadata.index.value != numbers.back())
+        return StoreError { Corruption { CorruptionKind::DamagedSnapshot, file, 0 } };
+    return std::optional(std::move(snapshot));
+}
+
+Core::Result<Core::Void, StoreError> Store::Engine::readLog(
+    std::vector<std::string> const& names, LogReplay& replay, RecoveryReport& report)
+{
+    auto const numbers = numbersOf(names, logPrefix);
+    for (auto const number : numbers) {
+        auto const file = numberedName(logPrefix, number);
+        auto const isLast = number == numbers.back();
+        if (!files_.empty() && number != files_.back().number + 1)
+            return StoreError { Corruption { CorruptionKind::MissingEntries, file, 0 } };
+        auto const bytes = TRY(lifted(disk_.read(file)));
+        auto const scan = scanFile(bytes, number);
+        report.bytesRead += bytes.size();
+        if (scan.unsupportedVersion)
+            return StoreError { UnsupportedVersion { file, *scan.unsupportedVersion } };
+        // A file is started only when the one before is durable, and a batch only when the one before is. So only the
+        // last batch of the last file can be torn.
+        if (scan.damageOffset && (!isLast || scan.isDamageFollowed)) {
+            auto const kind = scan.isHeaderSound ? CorruptionKind::DamagedRecord : CorruptionKind::DamagedFileHeader;
+            return StoreError { Corruption { kind, file, *scan.damageOffset } };
+        }
+        if (scan.batchCount == 0) {
+            // Without the first batch the file was never acknowledged. The first file is there since the creation.
+            if (!isLast || files_.empty())
+                return StoreError { Corruption {
+                    CorruptionKind::DamagedFileHeader, file, scan.damageOffset.value_or(0) } };
+            report.tornBytes += bytes.size();
+            TRY(lifted(disk_.remove(file)));
+            break;
+        }
+        if (!files_.empty() && scan.firstBatch != nextBatch_)
+            return StoreError { Corruption { CorruptionKind::MissingEntries, file, 0 } };
+        files_.push_back({ number, replay.end().index });
+        for (auto const& record : scan.records) {
+            if (record.type == RecordType::Continue && files_.size() == 1) {
+                TRY(replay.apply(record, file));
+                files_.back().firstPrevious = replay.end().index;
+                continue;
+            }
+            TRY(replay.apply(record, file));
+        }
+        nextBatch_ = scan.firstBatch + scan.batchCount;
+        fileSize_ = scan.soundEnd;
+        if (scan.damageOffset) {
+            report.tornBytes += bytes.size() - scan.soundEnd;
+            auto const output = TRY(lifted(disk_.open(file, false)));
+            TRY(lifted(output->truncate(scan.soundEnd)));
+        }
+    }
+    if (files_.empty())
+        return StoreError { Corruption { CorruptionKind::MissingEntries, numberedName(logPrefix, 1), 0 } };
+    return Core::Void {};
+}
+
+Core::Result<Consensus::RecoveredState, StoreError> Store::Engine::open(RecoveryReport& report)
+{
+    lock_ = TRY(takeLock(disk_));
+    auto state = recover(report);
+    if (state.isError() && leavesDoubt(state.error()))
+        markFailed();
+    return state;
+}
+
+void Store::Engine::markFailed()
+{
+    file_.reset();
+    // The result is of no use: the store stays failed either way.
+    static_cast<void>(disk_.rename(std::string(healthyFile), std::string(failedFile)));
+}
+
+Core::Result<Consensus::RecoveredState, StoreError> Store::Engine::recover(RecoveryReport& report)
+{
+    auto const names = TRY(lifted(disk_.list()));
+    TRY(checkFiles(names));
+    Consensus::RecoveredState state;
+    state.snapshot = TRY(readSnapshot(names));
+    LogReplay replay;
+    TRY(readLog(names, replay, report));
+    // What was read may be in the page cache only, written by a process that ended before its fsync.
+    file_ = TRY(lifted(disk_.open(numberedName(logPrefix, files_.back().number), false)));
+    TRY(lifted(file_->sync()));
+    TRY(lifted(disk_.syncDirectory()));
+
+    // What the files end with, before the snapshot is taken into account: a new file repeats it.
+    durableEnd_ = replay.end();
+    LogPosition start;
+    if (state.snapshot)
+        start = { state.snapshot->metadata.index, state.snapshot->metadata.term };
+    auto const mustReset = TRY(replay.startFrom(start, numberedName(logPrefix, files_.front().number)));
+    hardState_ = replay.hardState;
+    end_ = replay.end();
+    durableHardState_ = hardState_;
+    if (mustReset) {
+        batch_.add(RecordType::Reset, encodePosition(start));
+        TRY(flush());
+    }
+    TRY(removeObsolete());
+    report.entries = replay.entries.size();
+    state.hardState = replay.hardState;
+    state.entries = std::move(replay.entries);
+    return state;
+}
+
+Core::Result<Consensus::PersistSequence, StoreError> Store::Engine::persist(
+    std::span<Consensus::PersistRequest const> requests)
+{
+    if (failure_)
+        return *failure_;
+    auto result = write(requests);
+    if (result.isError()) {
+        failure_ = result.error();
+        markFailed();
+        return *failure_;
+    }
+    return requests.empty() ? Consensus::PersistSequence {} : requests.back().sequence;
+}
+
+Core::Result<Core::Void, StoreError> Store::Engine::write(std::span<Consensus::PersistRequest const> requests)
+{
+    auto hasSnapshot = false;
+    for (auto const& request : requests) {
+        if (request.snapshot) {
+            // The snapshot may contain entries of this very batch.
+            TRY(flush());
+            TRY(writeSnapshot(*request.snapshot));
+            hasSnapshot = true;
+        }
+        add(request);
+    }
+    TRY(flush());
+    if (hasSnapshot)
+        TRY(removeObsolete());
+    return Core::Void {};
+}
+
+void Store::Engine::add(Consensus::PersistRequest const& request)
+{
+    if (request.snapshot && request.discardsLog) {
+        end_ = { request.snapshot->metadata.index, request.snapshot->metadata.term };
+        batch_.add(RecordType::Reset, encodePosition(end_));
+    }
+    if (request.hardState) {
+        hardState_ = *request.hardState;
+        batch_.add(RecordType::HardState, Consensus::encodeHardState(hardState_));
+    }
+    for (auto const& entry : request.entries) {
+        end_ = { entry.index, entry.term };
+        batch_.add(RecordType::Entry, Consensus::encodeEntry(entry));
+    }
+}
+
+Core::Result<Core::Void, StoreError> Store::Engine::flush()
+{
+    if (batch_.isEmpty())
+        return Core::Void {};
+    if (!file_ || fileSize_ >= settings_.segmentBytes)
+        TRY(startFile());
+    auto const bytes = batch_.encode(files_.back().number, nextBatch_);
+    TRY(lifted(file_->append(bytes)));
+    TRY(lifted(file_->sync()));
+    batch_ = {};
+    ++nextBatch_;
+    fileSize_ += bytes.size();
+    bytesWritten_ += bytes.size();
+    durableHardState_ = hardState_;
+    durableEnd_ = end_;
+    return Core::Void {};
+}
+
+/// Each file begins with a batch that repeats what must survive the removal of the files before it.
+Core::Result<Core::Void, StoreError> Store::Engine::startFile()
+{
+    auto const number = files_.empty() ? 1 : files_.back().number + 1;
+    Batch first;
+    first.add(RecordType::Continue, encodePosition(durableEnd_));
+    first.add(RecordType::HardState, Consensus::encodeHardState(durableHardState_));
+    auto const bytes = encodeFileHeader(number, nextBatch_) + first.encode(number, nextBatch_);
+    file_ = TRY(lifted(disk_.open(numberedName(logPrefix, number), true)));
+    TRY(lifted(file_->append(bytes)));
+    TRY(lifted(file_->sync()));
+    TRY(lifted(disk_.syncDirectory()));
+    files_.push_back({ number, durableEnd_.index });
+    ++nextBatch_;
+    fileSize_ = bytes.size();
+    bytesWritten_ += bytes.size();
+    return Core::Void {};
+}
+
+Core::Result<Core::Void, StoreError> Store::Engine::writeSnapshot(Consensus::Snapshot const& snapshot)
+{
+    auto const bytes = encodeSnapshot(snapshot);
+    auto const file = numberedName(snapshotPrefix, snapshot.metadata.index.value);
+    TRY(lifted(writeFileAtomically(disk_, file, bytes)));
+    bytesWritten_ += bytes.size();
+    if (std::ranges::find(snapshots_, snapshot.metadata.index) == snapshots_.end())
+        snapshots_.push_back(snapshot.metadata.index);
+    return Core::Void {};
+}
+
+/// Removes what the newest snapshot makes superfluous. The directory is synced after each file of the log, so that a
+/// crash leaves no gap between the files.
+Core::Result<Core::Void, StoreError> Store::Engine::removeObsolete()
+{
+    if (snapshots_.empty())
+        return Core::Void {};
+    auto const newest = *std::ranges::max_element(snapshots_);
+    for (auto const index : snapshots_) {
+        if (index != newest)
+            TRY(lifted(disk_.remove(numberedName(snapshotPrefix, index.value))));
+    }
+    snapshots_ = { newest };
+    while (files_.size() > 1 && files_[1].firstPrevious <= newest) {
+        TRY(lifted(disk_.remove(numberedName(logPrefix, files_.front().number))));
+        TRY(lifted(disk_.syncDirectory()));
+        files_.erase(files_.begin());
+    }
+    return Core::Void {};
+}
+
+Store::Store(std::unique_ptr<Engine> engine)
+    : engine_(std::move(engine))
+{
+}
+
+Store::~Store() = default;
+
+Core::Result<Core::Void, StoreError> Store::create(
+    DiskInterface& disk, StoreSettings const& settings, Consensus::RecoveredState const& state)
+{
+    return Engine(disk, settings).create(state);
+}
+
+Core::Result<Store::Opened, StoreError> Store::open(DiskInterface& disk, StoreSettings const& settings)
+{
+    auto engine = std::make_unique<Engine>(disk, settings);
+    Opened opened;
+    opened.state = TRY(engine->open(opened.report));
+    opened.store.reset(new Store(std::move(engine)));
+    return opened;
+}
+
+Core::Result<Consensus::PersistSequence, StoreError> Store::persist(std::span<Consensus::PersistRequest const> requests)
+{
+    return engine_->persist(requests);
+}
+
+std::uint64_t Store::bytesWritten() const { return engine_->bytesWritten(); }
+
+} // namespace Storage
