--- a/Libraries/LibControl/Leader.cpp
+++ b/Libraries/LibControl/Leader.cpp
@@ -50,6 +50,7 @@
     nextHostScan_ = now;
     clockAdvanced_ = now;
     evaluatedVersion_ = {};
+    refreshedVersion_.reset();
     for (auto const& [name, host] : state_.entryHosts())
         hosts_[name] = { .incarnation = host.incarnation,
             .joinedAt = host.joinedAt,
@@ -57,6 +58,7 @@
             .silentUntil = earlierLeasesUntil_ };
     for (auto const& [name, record] : state_.servers())
         rampUps_[name] = { record.server.coldSince, now - settings_.rampUp };
+    refreshAll(now);
     for (auto const& [pool, table] : state_.slots()) {
         // An earlier leader may have asked for these releases, and the owner may have confirmed. Never granting them
         // again keeps such a confirmation true however late it arrives.
@@ -189,6 +191,7 @@
     lease.busySlots = announcement.busySlots;
     if (!isOnRecord)
         return grant;
+    refreshAll(now);
     recordReleases(announcement);
     if (!mayGrant(now))
         return grant;
@@ -260,7 +263,7 @@
         detectLostHosts(now);
         detectLostServers(now);
     }
-    std::erase_if(pools_, [&](auto const& entry) { return !state_.findSlots(entry.first); });
+    refreshAll(now);
     for (auto const& [pool, table] : state_.slots())
         changeOwners(now, pool, table);
     advanceClock(now);
--- a/Libraries/LibControl/Leader.h
+++ b/Libraries/LibControl/Leader.h
@@ -119,7 +119,9 @@
     std::vector<EpochSlot> release;
 };
 
-/// Answer to a heartbeat. The entry host must apply `view` before it counts on `viewLease`.
+/// Answer to a heartbeat. The entry host must apply `view` before it counts on `viewLease`. `grants` answers the
+/// announcements of that very heartbeat, in their order: an entry host must not pair a grant with a later announcement
+/// of the same server, since the grant counts from the sending of the announcement that it answers.
 struct HeartbeatAnswer {
     Core::HostName host;
     Core::Incarnation incarnation;
@@ -198,6 +200,13 @@
         Core::TimePoint grantExpiry;
         bool isConfirmed { false };
     };
+    /// An unassigned slot. The time is kept by slot: a server that returned gets new grants, but none that contains
+    /// what it lost.
+    struct FreeSlot {
+        Core::Epoch epoch;
+        /// The last owner's last grant that contained the slot expires.
+        Core::TimePoint from;
+    };
     struct SlotLoad {
         double load { 0 };
         Core::TimePoint updated;
@@ -211,6 +220,7 @@
         std::vector<SlotLoad> loads;
         std::map<std::uint64_t, Handover> handovers;
         std::map<std::uint64_t, Core::TimePoint> releaseBegan;
+        std::map<std::uint64_t, FreeSlot> freeSlots;
         std::unordered_map<Core::ServerName, std::vector<std::uint32_t>> slotsOf;
         std::vector<std::uint32_t> unassigned;
         std::vector<std::uint32_t> releasing;
@@ -218,6 +228,7 @@
         /// Since when some server may own slots.
         std::optional<Core::TimePoint> eligibleSince;
         std::optional<Core::ViewVersion> seenVersion;
+        std::size_t slotCount { 0 };
         Core::TimePoint nextBalance;
         /// The last proposal that changes owners, and the table's version at that moment.
         std::optional<Core::TimePoint> proposedAt;
@@ -251,6 +262,8 @@
     void advanceClock(Core::TimePoint now);
     Core::TimePoint grantExpiry(Core::ServerName const&, Core::Incarnation) const;
 
+    /// Follows the state to its current version. Called before any grant is extended.
+    void refreshAll(Core::TimePoint now);
     PoolWork& refresh(Core::TimePoint now, Core::PoolName const&, SlotTable const&);
     void changeOwners(Core::TimePoint now, Core::PoolName const&, SlotTable const&);
     void advanceHandovers(Core::TimePoint now, Core::PoolName const&, SlotTable const&, PoolWork&);
@@ -289,6 +302,7 @@
     /// When a proposal was made, by its subject.
     std::unordered_map<std::string, Core::TimePoint> proposals_;
     Core::ViewVersion evaluatedVersion_;
+    std::optional<Core::ViewVersion> refreshedVersion_;
     std::shared_ptr<Routing::View const> view_;
     std::vector<Action> actions_;
 };
--- a/Libraries/LibControl/LeaderOwnership.cpp
+++ b/Libraries/LibControl/LeaderOwnership.cpp
@@ -25,12 +25,24 @@
     return load.load * std::exp2(-halfLives);
 }
 
+void Leader::refreshAll(Core::TimePoint now)
+{
+    if (refreshedVersion_ == state_.viewVersion())
+        return;
+    refreshedVersion_ = state_.viewVersion();
+    std::erase_if(pools_, [&](auto const& entry) { return !state_.findSlots(entry.first); });
+    for (auto const& [pool, table] : state_.slots())
+        refresh(now, pool, table);
+}
+
 Leader::PoolWork& Leader::refresh(Core::TimePoint now, Core::PoolName const& pool, SlotTable const& table)
 {
     auto& work = pools_[pool];
     if (work.seenVersion == state_.viewVersion())
         return work;
     work.seenVersion = state_.viewVersion();
+    if (work.slotCount != table.records().size())
+        work = { .seenVersion = work.seenVersion, .slotCount = table.records().size() };
     work.slotsOf.clear();
     work.unassigned.clear();
     work.releasing.clear();
@@ -39,8 +51,12 @@
         auto const& record = table.records()[slot];
         if (record.phase == SlotPhase::Unassigned) {
             work.unassigned.push_back(slot);
+            auto const known = work.freeSlots.find(slot);
+            if (known == work.freeSlots.end() || known->second.epoch != record.epoch)
+                work.freeSlots[slot] = { record.epoch, grantExpiry(record.owner, record.ownerIncarnation) };
             continue;
         }
+        work.freeSlots.erase(slot);
         work.slotsOf[record.owner].push_back(slot);
         if (record.phase == SlotPhase::Releasing) {
             work.releasing.push_back(slot);
@@ -153,7 +169,7 @@
         return std::nullopt;
     if (record.owner.isEmpty())
         return ReleaseBasis::None;
-    if (now < grantExpiry(record.owner, record.ownerIncarnation))
+    if (now < work.freeSlots.at(slot.slot.value).from)
         return std::nullopt;
     return ReleaseBasis::GrantExpired;
 }
