--- /dev/null
+++ b/Tests/LibProxy/TestStreams.cpp
@@ -0,0 +1,247 @@
+#include "Fixtures.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+
+using namespace Test;
+
+BOOST_AUTO_TEST_SUITE(Streams)
+
+namespace {
+
+constexpr std::size_t largeBytes = 128UL * 1024 * 1024;
+constexpr std::size_t pieceBytes = 256UL * 1024;
+
+std::size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * 4096;
+}
+
+/// Reads and discards a number of body bytes.
+std::size_t discard(Peer& peer, std::size_t bytes)
+{
+    std::vector<char> buffer(pieceBytes);
+    std::size_t count = 0;
+    while (count < bytes) {
+        pollfd polled { peer.socket().descriptor(), POLLIN, 0 };
+        if (!Proxy::waitFor({ &polled, 1 }, Core::BootClock::now() + 5s))
+            break;
+        auto const received = peer.socket().receive(buffer);
+        if (received.status != Proxy::IoStatus::Done)
+            break;
+        count += received.bytes;
+    }
+    return count;
+}
+
+std::string lengthField(std::size_t bytes) { return "Content-Length: " + std::to_string(bytes) + "\r\n\r\n"; }
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(LargeBodiesDoNotGrowMemory)
+{
+    std::atomic<std::size_t> uploaded { 0 };
+    FakeBackend backend([&](Peer& peer, FakeBackend&) {
+        std::string const piece(pieceBytes, 'x');
+        uploaded = discard(peer, largeBytes);
+        peer.send("HTTP/1.1 200 OK\r\n" + lengthField(largeBytes));
+        for (std::size_t sent = 0; sent < largeBytes; sent += piece.size())
+            peer.send(piece);
+    });
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    std::string const piece(pieceBytes, 'x');
+    auto const before = residentBytes();
+    peer.send("PUT /uploads/1 HTTP/1.1\r\nHost: h\r\nPrimroseshift-Deadline-Ms: 20000\r\n" + lengthField(largeBytes));
+    for (std::size_t sent = 0; sent < largeBytes; sent += piece.size())
+        BOOST_REQUIRE(peer.send(piece));
+    BOOST_TEST(discard(peer, largeBytes) >= largeBytes);
+    BOOST_TEST(uploaded >= largeBytes);
+    BOOST_TEST(residentBytes() < before + 32UL * 1024 * 1024);
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedBodiesAreForwardedInBothDirections)
+{
+    FakeBackend backend([](Peer& peer, FakeBackend& self) {
+        self.next(peer);
+        peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6;x=y\r\n world\r\n0\r\n\r\n");
+    });
+    Fixture const fixture({ &backend });
+    auto const response = fixture.request(
+        "PUT /uploads/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n");
+    BOOST_TEST(headerOf(response, "Transfer-Encoding") == "chunked");
+    BOOST_TEST(bodyOf(response) == "b\r\nhello world\r\n0\r\n\r\n");
+    BOOST_TEST(bodyOf(backend.requests().at(0)) == "6\r\nabcdef\r\n0\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(ResponseThatEndsWithItsConnectionIsComplete)
+{
+    FakeBackend backend([](Peer& peer, FakeBackend& self) {
+        self.next(peer);
+        peer.send("HTTP/1.1 200 OK\r\n\r\nuntil the end");
+    });
+    Fixture const fixture({ &backend });
+    BOOST_TEST(bodyOf(fixture.request(getLetter)) == "d\r\nuntil the end\r\n0\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(TruncatedResponsesAreVisiblyTruncated)
+{
+    for (auto const* framing : { "Content-Length: 1000000", "Transfer-Encoding: chunked" }) {
+        FakeBackend backend([&](Peer& peer, FakeBackend& self) {
+            self.next(peer);
+            peer.send("HTTP/1.1 200 OK\r\n" + std::string(framing) + "\r\n\r\nf4240\r\n" + std::string(200'000, 'x'));
+        });
+        Fixture const fixture({ &backend });
+        auto peer = fixture.connect();
+        peer.send(getLetter);
+        auto const response = peer.readMessage();
+        BOOST_TEST(statusOf(response) == "200");
+        BOOST_TEST(peer.wasTruncated(), framing);
+        BOOST_TEST(peer.isClosedWithin(1s));
+        BOOST_TEST(eventually([&] { return fixture.control.records().size() == 1; }));
+        BOOST_TEST(fixture.control.records()[0].isTruncated);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(HeadAndNotModifiedResponsesHaveNoBody)
+{
+    FakeBackend backend([](Peer& peer, FakeBackend& self) {
+        while (!self.next(peer).empty())
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
+    });
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    for (int i = 0; i < 2; ++i) {
+        peer.send("HEAD /letters/7 HTTP/1.1\r\nHost: h\r\n\r\n");
+        auto const response = peer.readMessage(false);
+        BOOST_TEST(headerOf(response, "Content-Length") == "1000");
+        BOOST_TEST(bodyOf(response).empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ResponseBeforeTheEndOfTheBodyIsForwarded)
+{
+    FakeBackend backend([](Peer& peer, FakeBackend&) {
+        discard(peer, 100'000);
+        peer.send("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        discard(peer, pieceBytes);
+    });
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    peer.send("PUT /uploads/1 HTTP/1.1\r\nHost: h\r\n" + lengthField(largeBytes) + std::string(200'000, 'x'));
+    auto const response = peer.readMessage();
+    BOOST_TEST(outcomeOf(response) == "413 answered ");
+    BOOST_TEST(headerOf(response, "Connection") == "close");
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatLeavesCancelsItsWork)
+{
+    std::atomic<bool> wasCancelled { false };
+    FakeBackend backend([&](Peer& peer, FakeBackend& self) {
+        self.next(peer);
+        wasCancelled = peer.isClosedWithin(1s);
+    });
+    Fixture const fixture({ &backend });
+    {
+        auto peer = fixture.connect();
+        peer.send(postLetter);
+        BOOST_TEST(eventually([&] { return backend.requests().size() == 1; }));
+    }
+    BOOST_TEST(eventually([&] { return wasCancelled.load(); }));
+    BOOST_TEST(eventually([&] { return fixture.control.records().size() == 1; }));
+    BOOST_TEST((fixture.control.records()[0].reason == Proxy::Reason::Cancelled));
+    BOOST_TEST((fixture.control.releases().at(0).outcome == Policy::AttemptOutcome::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatLeavesDuringADownloadCancelsIt)
+{
+    std::atomic<bool> wasCancelled { false };
+    FakeBackend backend([&](Peer& peer, FakeBackend& self) {
+        self.next(peer);
+        peer.send("HTTP/1.1 200 OK\r\n" + lengthField(largeBytes));
+        std::string const piece(pieceBytes, 'x');
+        for (std::size_t sent = 0; sent < largeBytes && !wasCancelled; sent += piece.size())
+            wasCancelled = !peer.send(piece);
+    });
+    Fixture const fixture({ &backend });
+    {
+        auto peer = fixture.connect();
+        peer.send("GET /uploads/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+        discard(peer, pieceBytes);
+    }
+    BOOST_TEST(eventually([&] { return wasCancelled.load(); }));
+}
+
+BOOST_AUTO_TEST_CASE(SlowCallerOfASmallRequestHoldsNoPermit)
+{
+    FakeBackend backend(FakeBackend::answering("x"));
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    peer.send("POST /letters/7 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo");
+    std::this_thread::sleep_for(50ms);
+    BOOST_TEST(fixture.control.acquires().empty());
+    peer.send("dy");
+    BOOST_TEST(statusOf(peer.readMessage()) == "200");
+}
+
+BOOST_AUTO_TEST_CASE(SlowCallerGivesItsPermitBackAtTheDeadline)
+{
+    FakeBackend backend([](Peer& peer, FakeBackend&) { peer.readToEnd(); });
+    Fixture const fixture({ &backend });
+    auto upload = fixture.connect();
+    upload.send("PUT /uploads/1 HTTP/1.1\r\nHost: h\r\nPrimroseshift-Deadline-Ms: 200\r\n" + lengthField(largeBytes)
+        + std::string(100'000, 'x'));
+    BOOST_TEST(eventually([&] { return fixture.control.acquires().size() == 1; }));
+    BOOST_TEST(outcomeOf(upload.readMessage()) == "504 unknown deadline-exceeded");
+    BOOST_TEST(fixture.control.permitsHeld() == 0);
+    // The server did nothing wrong.
+    BOOST_TEST((fixture.control.releases().at(0).outcome == Policy::AttemptOutcome::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(CallerThatDoesNotReadGivesItsPermitBack)
+{
+    FakeBackend backend([](Peer& peer, FakeBackend& self) {
+        self.next(peer);
+        peer.send("HTTP/1.1 200 OK\r\n" + lengthField(largeBytes));
+        std::string const piece(pieceBytes, 'x');
+        while (peer.send(piece)) { }
+    });
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    peer.send("GET /uploads/1 HTTP/1.1\r\nHost: h\r\nPrimroseshift-Deadline-Ms: 200\r\n\r\n");
+    BOOST_TEST(eventually([&] { return fixture.control.releases().size() == 1; }));
+    // A small response is complete at once, so its permit is free although nobody reads.
+    auto const small = fixture.control.records();
+    BOOST_TEST(small.size() <= 1);
+}
+
+BOOST_AUTO_TEST_CASE(ExpectedContinueIsAnsweredBeforeTheBody)
+{
+    FakeBackend backend(FakeBackend::answering("x"));
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    peer.send("POST /letters/7 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+    BOOST_TEST(peer.readMessage(false) == "HTTP/1.1 100 Continue\r\n\r\n");
+    peer.send("body");
+    BOOST_TEST(statusOf(peer.readMessage()) == "200");
+    BOOST_TEST(headerOf(backend.requests().at(0), "Expect").empty());
+}
+
+BOOST_AUTO_TEST_CASE(InterimResponsesAreNotForwarded)
+{
+    FakeBackend backend([](Peer& peer, FakeBackend& self) {
+        self.next(peer);
+        peer.send("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + okResponse("final"));
+    });
+    Fixture const fixture({ &backend });
+    auto const response = fixture.request(getLetter);
+    BOOST_TEST(statusOf(response) == "200");
+    BOOST_TEST(bodyOf(response) == "final");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
