--- a/Libraries/LibOperator/OperatorClient.h
+++ b/Libraries/LibOperator/OperatorClient.h
@@ -19,6 +19,7 @@
 
 /// The operator API over HTTP. A call goes to the entry points in turn until one gives a final answer. All requests are
 /// repeatable: those that change something carry an edit id, so a call whose response was lost is sent again as it is.
+/// Not thread-safe.
 class OperatorClient final : public OperatorService {
 public:
     explicit OperatorClient(OperatorClientSettings);
@@ -42,14 +43,26 @@
 
 private:
     struct Call {
-        /// Empty body sends GET, otherwise POST.
+        /// `GET` or `POST`.
+        std::string method;
         std::string target;
         std::string body;
+        /// Time that the request itself may wait at the server.
         Core::Duration extraTime { 0 };
     };
+    struct Attempt {
+        OperatorResult<std::string> result;
+        /// The request may have been run although its response is lost.
+        bool isLost { false };
+    };
+    struct Sent {
+        OperatorResult<std::string> result;
+        /// An earlier attempt of the same call may have been run.
+        bool wasRepeated { false };
+    };
 
-    OperatorResult<std::string> send(Call const&);
-    OperatorResult<std::string> sendOnce(Core::Endpoint const&, Call const&, Core::Duration timeout) const;
+    Sent send(Call const&);
+    Attempt attempt(Core::Endpoint const&, Call const&, Core::Duration timeout) const;
     template <typename Response> OperatorResult<Response> exchange(Call const&);
 
     OperatorClientSettings settings_;
