--- a/Libraries/LibOperator/OperatorCodec.h
+++ b/Libraries/LibOperator/OperatorCodec.h
@@ -15,13 +15,14 @@
 
 // Defined for the types below, in OperatorCodec.cpp. The plain ones are structs whose fields are listed in
 // OperatorFields.h.
-#define PRIMROSESHIFT_OPERATOR_PLAIN_MESSAGES(X)                                                                       \
-    X(StatusResponse)                                                                                                  \
-    X(PoolsResponse)                                                                                                   \
-    X(RoutesResponse)                                                                                                  \
-    X(BackendsResponse) X(DomainsResponse) X(OwnersResponse) X(UsageResponse) X(HistoryResponse) X(TablesResponse)     \
-        X(DiffResponse) X(EditRequest) X(EditResponse) X(ServiceResponse) X(QuarantineResponse)                        \
-            X(LiftQuarantineRequest) X(LiftQuarantineResponse) X(WaitResponse)
+// clang-format off
+#define PRIMROSESHIFT_OPERATOR_PLAIN_MESSAGES(X) \
+    X(StatusResponse) X(PoolsResponse) X(RoutesResponse) X(BackendsResponse) \
+    X(DomainsResponse) X(OwnersResponse) X(UsageResponse) X(HistoryResponse) \
+    X(TablesResponse) X(DiffResponse) X(EditRequest) X(EditResponse) \
+    X(ServiceResponse) X(QuarantineResponse) X(LiftQuarantineRequest) X(LiftQuarantineResponse) \
+    X(WaitResponse)
+// clang-format on
 
 #define PRIMROSESHIFT_DECLARE_CODEC(type)                                                                              \
     template <> std::string encode<type>(type const&);                                                                 \
