--- a/Libraries/LibPolicy/Decisions.cpp
+++ b/Libraries/LibPolicy/Decisions.cpp
@@ -8,7 +8,7 @@
 Decisions defaultDecisions(DispatchSettings const& settings)
 {
     return {
-        .makeLimit = [limit = settings.limit] { return std::make_unique<SlowStartLimit>(limit); },
+        .makeLimit = [limit = settings.limit](Core::ServerName const&) { return std::make_unique<SlowStartLimit>(limit); },
         .makeQueue = [queue = settings.queue] { return std::make_unique<FairQueue>(queue); },
         .choice = std::make_unique<LeastLoadedChoice>(),
         .budget = std::make_unique<TokenRetryBudget>(settings.retry),
@@ -20,7 +20,7 @@
 Decisions baselineDecisions()
 {
     return {
-        .makeLimit = [] { return std::make_unique<SlotsLimit>(); },
+        .makeLimit = [](Core::ServerName const&) { return std::make_unique<SlotsLimit>(); },
         .makeQueue = [] { return std::make_unique<FifoQueue>(); },
         .choice = std::make_unique<RoundRobinChoice>(),
         .budget = std::make_unique<UnlimitedRetries>(),
--- a/Libraries/LibPolicy/Decisions.h
+++ b/Libraries/LibPolicy/Decisions.h
@@ -14,7 +14,7 @@
 
 /// The exchangeable decision rules of a dispatch group. Tests and measurements replace single ones.
 struct Decisions {
-    std::function<std::unique_ptr<ServerLimit>()> makeLimit;
+    std::function<std::unique_ptr<ServerLimit>(Core::ServerName const&)> makeLimit;
     std::function<std::unique_ptr<WaitQueue>()> makeQueue;
     std::unique_ptr<ServerChoice> choice;
     std::unique_ptr<RetryBudget> budget;
--- a/Libraries/LibPolicy/DispatchServers.cpp
+++ b/Libraries/LibPolicy/DispatchServers.cpp
@@ -197,7 +197,7 @@
         servers_[index] = Server {};
     }
     servers_[index].name = name;
-    servers_[index].limit = decisions_.makeLimit();
+    servers_[index].limit = decisions_.makeLimit(name);
     servers_[index].queue = decisions_.makeQueue();
     serverIndex_.emplace(name, index);
     refresh(index);
