--- a/Tests/LibConsensus/Simulation.cpp
+++ b/Tests/LibConsensus/Simulation.cpp
@@ -130,7 +130,8 @@
     auto& host = hosts_.at(name);
     auto opened = Storage::Store::open(*host.disk, { clusterId, { name }, segmentBytes });
     if (opened.isError()) {
-        auto const isDiskError = std::holds_alternative<Storage::DiskError>(opened.error());
+        auto const isDiskError = std::holds_alternative<Storage::DiskError>(opened.error())
+            || std::holds_alternative<Storage::FailedEarlier>(opened.error());
         host.isFailed = host.isFailed || (host.hasDiskFault && isDiskError);
         if (!host.isFailed)
             fail(sentence(name, " cannot restart: ", Storage::describe(opened.error())));
--- a/Tests/LibConsensus/TestChaos.cpp
+++ b/Tests/LibConsensus/TestChaos.cpp
@@ -183,7 +183,7 @@
 
 BOOST_AUTO_TEST_CASE(NoRuleIsBrokenByRandomFaults)
 {
-    auto const range = Test::seedRange(300);
+    auto const range = Test::seedRange(1000);
     std::uint64_t committed = 0;
     std::uint64_t acknowledged = 0;
     std::uint64_t steps = 0;
