--- a/Libraries/LibConsensus/Machine.cpp
+++ b/Libraries/LibConsensus/Machine.cpp
@@ -12,11 +12,6 @@
 
     Term baseTermOf(RecoveredState const& state) { return state.snapshot ? state.snapshot->metadata.term : Term {}; }
 
-    LogIndex lastIndexOf(RecoveredState const& state)
-    {
-        return state.entries.empty() ? baseIndexOf(state) : state.entries.back().index;
-    }
-
     ConfigurationHistory configurationsOf(RecoveredState const& state)
     {
         ConfigurationHistory history;
@@ -37,11 +32,11 @@
     , now_(now)
     , term_(state.hardState.term)
     , votedFor_(state.hardState.votedFor)
-    , log_(baseIndexOf(state), baseTermOf(state), state.entries)
     , configurations_(configurationsOf(state))
+    , log_(baseIndexOf(state), baseTermOf(state), std::move(state.entries))
     , commitIndex_(baseIndexOf(state))
     , snapshot_(state.snapshot)
-    , durability_(lastIndexOf(state))
+    , durability_(log_.lastIndex())
     // A host that restarts may have heard from the leader a moment ago, so it does not vote for a while either.
     , lastLeaderContact_(now)
     , receiver_(settings_.maxSnapshotBytes)
--- a/Libraries/LibConsensus/Machine.h
+++ b/Libraries/LibConsensus/Machine.h
@@ -138,8 +138,8 @@
     Term term_;
     std::optional<Core::HostName> votedFor_;
     std::optional<Core::HostName> leader_;
-    Log log_;
     ConfigurationHistory configurations_;
+    Log log_;
     LogIndex commitIndex_;
     std::optional<Snapshot> snapshot_;
     DurabilityTracker durability_;
--- a/Tests/LibConsensus/TestNode.cpp
+++ b/Tests/LibConsensus/TestNode.cpp
@@ -21,6 +21,16 @@
     return { { term }, { index }, Command { std::move(payload) } };
 }
 
+template <typename Body> std::vector<Body> bodies(Actions const& actions)
+{
+    std::vector<Body> found;
+    for (auto const& message : actions.messages) {
+        if (auto const* body = std::get_if<Body>(&message.body))
+            found.push_back(*body);
+    }
+    return found;
+}
+
 /// Host `a` of the voters a, b and c, driven by hand.
 class Driver {
 public:
@@ -46,12 +56,14 @@
     /// Ticks until the node asks for votes in advance.
     Actions timeOut()
     {
-        while (true) {
+        for (int tick = 0; tick < 1000; ++tick) {
             now_ += 10ms;
             auto actions = step(Tick {});
-            if (!actions.messages.empty())
+            if (!bodies<VoteRequest>(actions).empty())
                 return actions;
         }
+        BOOST_FAIL("no vote is asked for");
+        return {};
     }
 
     /// Wins an election with the vote of `b`. Returns the actions of the step in which it becomes leader.
@@ -101,16 +113,6 @@
     PersistSequence lastWrite_;
 };
 
-template <typename Body> std::vector<Body> bodies(Actions const& actions)
-{
-    std::vector<Body> found;
-    for (auto const& message : actions.messages) {
-        if (auto const* body = std::get_if<Body>(&message.body))
-            found.push_back(*body);
-    }
-    return found;
-}
-
 Propose propose(std::uint64_t token, std::string payload = "x") { return { { { { token }, std::move(payload) } } }; }
 
 template <typename Outcome> bool isAnswered(Actions const& actions, std::uint64_t token)
