--- a/Utilities/ConsensusBench/Main.cpp
+++ b/Utilities/ConsensusBench/Main.cpp
@@ -157,9 +157,10 @@
         cpu[host] += cpuSeconds() - start;
         if (!actions.persist.empty())
             queue.emplace_back(host, Persisted { actions.persist.back().sequence });
-        for (auto& message : actions.messages)
-            queue.emplace_back(
-                static_cast<std::size_t>(message.to.value[0] - '0'), MessageReceived { std::move(message) });
+        for (auto& message : actions.messages) {
+            auto const target = static_cast<std::size_t>(message.to.value[0] - '0');
+            queue.emplace_back(target, MessageReceived { std::move(message) });
+        }
     };
     auto const drain = [&] {
         while (!queue.empty()) {
