--- a/Tests/LibControl/Simulation/Simulation.cpp
+++ b/Tests/LibControl/Simulation/Simulation.cpp
@@ -203,6 +203,8 @@
     ++leaderChanges;
     leader_ = next;
     hasQuorum_ = true;
+    // A candidate has seen the new term: whatever it led before has ended.
+    step(leading(), Control::LostLeadership {});
     catchUp(leading());
     // Entries of the earlier leader may have reached the new one, in order, before they were committed.
     auto const survivors = random_.below(underWay_.size() + 1);
@@ -227,6 +229,17 @@
     });
 }
 
+std::size_t World::nextLeader()
+{
+    auto const first = leader_ + 1 + random_.below(2);
+    for (auto i = first; i < first + controls_.size(); ++i) {
+        auto const candidate = i % controls_.size();
+        if (candidate != leader_ && !controls_[candidate]->isPaused)
+            return candidate;
+    }
+    return first % controls_.size();
+}
+
 void World::loseLeader(bool isPaused)
 {
     if (!hasQuorum_)
@@ -238,9 +251,8 @@
     // Followers do not vote within the minimum election timeout after the last round, by clocks that may be fast.
     auto const earliest = lastRound_ + std::chrono::duration_cast<Duration>(minElectionTimeout / (1 + options_.drift));
     auto const at = std::max(now_, earliest) + Duration(random_.below(450'000'000));
-    auto const next = (leader_ + 1 + random_.below(2)) % controls_.size();
-    after(at - now_, [this, next, &old] {
-        elect(next);
+    after(at - now_, [this, &old] {
+        elect(nextLeader());
         auto const unaware = Duration(random_.below(3'000'000'000));
         after(unaware, [this, &old] {
             if (&old != &leading())
--- a/Tests/LibControl/Simulation/Simulation.h
+++ b/Tests/LibControl/Simulation/Simulation.h
@@ -145,6 +145,7 @@
     void append(Proposal const&);
     void catchUp(ControlHost&);
     void elect(std::size_t next);
+    std::size_t nextLeader();
     void quorumRound();
 
     void startHost(EntryHost&);
