--- a/Libraries/LibControl/Leader.h
+++ b/Libraries/LibControl/Leader.h
@@ -85,7 +85,8 @@
 struct BecameLeader {
     std::uint64_t term { 0 };
 };
-/// Also when a transfer of leadership begins: from then on a new leader may exist at any time.
+/// Must be sent as soon as the consensus state is no longer that of a leader, also when this host becomes a candidate
+/// and wins again, and when a transfer of leadership begins: from then on a new leader may exist at any time.
 struct LostLeadership { };
 /// A quorum answered a round of messages that this leader began at `roundBegan`.
 struct QuorumContact {
