--- a/Tests/LibControl/Simulation/Simulation.cpp
+++ b/Tests/LibControl/Simulation/Simulation.cpp
@@ -123,7 +123,8 @@
         events_.pop();
         now_ = event.at;
         event.action();
-        checkInvariants();
+        if (options_.checksInvariants)
+            checkInvariants();
     }
     now_ = end;
 }
@@ -203,6 +204,8 @@
     ++leaderChanges;
     leader_ = next;
     hasQuorum_ = true;
+    // A candidate has seen the new term: whatever it led before has ended.
+    step(leading(), Control::LostLeadership {});
     catchUp(leading());
     // Entries of the earlier leader may have reached the new one, in order, before they were committed.
     auto const survivors = random_.below(underWay_.size() + 1);
@@ -227,6 +230,17 @@
     });
 }
 
+std::size_t World::nextLeader()
+{
+    auto const first = leader_ + 1 + random_.below(2);
+    for (auto i = first; i < first + controls_.size(); ++i) {
+        auto const candidate = i % controls_.size();
+        if (candidate != leader_ && !controls_[candidate]->isPaused)
+            return candidate;
+    }
+    return first % controls_.size();
+}
+
 void World::loseLeader(bool isPaused)
 {
     if (!hasQuorum_)
@@ -238,9 +252,8 @@
     // Followers do not vote within the minimum election timeout after the last round, by clocks that may be fast.
     auto const earliest = lastRound_ + std::chrono::duration_cast<Duration>(minElectionTimeout / (1 + options_.drift));
     auto const at = std::max(now_, earliest) + Duration(random_.below(450'000'000));
-    auto const next = (leader_ + 1 + random_.below(2)) % controls_.size();
-    after(at - now_, [this, next, &old] {
-        elect(next);
+    after(at - now_, [this, &old] {
+        elect(nextLeader());
         auto const unaware = Duration(random_.below(3'000'000'000));
         after(unaware, [this, &old] {
             if (&old != &leading())
@@ -353,25 +366,32 @@
             std::to_string(Core::toMilliseconds(now_.time_since_epoch()) - 3'600'000) + " ms: " + text);
 }
 
-std::size_t World::servedSlots()
+bool World::isServed(std::uint64_t slot)
 {
     auto const* table = leading().state.findSlots({ "letter" });
+    auto const* record = table ? table->find({ slot }) : nullptr;
+    if (!record)
+        return false;
+    auto const isOwner = [&](auto const& server) {
+        auto const belief = server->owned.find(slot);
+        return server->isAlive && !server->isPaused && server->self.name == record->owner
+            && belief != server->owned.end() && belief->second.epoch == record->epoch
+            && local(*server) < belief->second.until;
+    };
+    auto const routes = [&](auto const& host) {
+        auto const* assignment = host->view ? host->view->findSlot({ "letter" }, { slot }) : nullptr;
+        return !host->isAlive
+            || (assignment && assignment->phase == Routing::SlotPhase::Owned && assignment->epoch == record->epoch
+                && local(*host) < host->leaseUntil);
+    };
+    return std::ranges::any_of(servers_, isOwner) && std::ranges::all_of(hosts_, routes);
+}
+
+std::size_t World::servedSlots()
+{
     std::size_t served = 0;
-    for (std::uint64_t slot = 0; table && slot < options_.slots; ++slot) {
-        auto const& record = *table->find({ slot });
-        auto const isServed = std::ranges::any_of(servers_, [&](auto const& server) {
-            auto const belief = server->owned.find(slot);
-            return server->isAlive && !server->isPaused && server->self.name == record.owner
-                && belief != server->owned.end() && belief->second.epoch == record.epoch
-                && local(*server) < belief->second.until;
-        });
-        auto const isRouted = std::ranges::all_of(hosts_, [&](auto const& host) {
-            auto const* assignment = host->view ? host->view->findSlot({ "letter" }, { slot }) : nullptr;
-            return !host->isAlive
-                || (assignment && assignment->epoch == record.epoch && local(*host) < host->leaseUntil);
-        });
-        served += isServed && isRouted ? 1 : 0;
-    }
+    for (std::uint64_t slot = 0; slot < options_.slots; ++slot)
+        served += isServed(slot) ? 1 : 0;
     return served;
 }
 
