Keep goodput at overload and restore stragglers at once

Cause: refusals for unreachable deadlines lowered the latency estimate without bound, requests granted with too little time left wasted capacity, timeouts of requests that had waited long marked servers cold, and a straggler was warmed up again step by step. The choice also followed chance differences in latency. Change: the estimate is only doubted without samples; requests that waited need time for two typical latencies; a server cut back for latency alone gets its limit back when the latency returns at once; slowness is relative to the lower quartile of the servers with a dead band; a refused hedge is asked for again.

--- a/Libraries/LibPolicy/Decisions.cpp
+++ b/Libraries/LibPolicy/Decisions.cpp
@@ -8,7 +8,8 @@
 Decisions defaultDecisions(DispatchSettings const& settings)
 {
     return {
-        .makeLimit = [limit = settings.limit](Core::ServerName const&) { return std::make_unique<SlowStartLimit>(limit); },
+        .makeLimit
+        = [limit = settings.limit](Core::ServerName const&) { return std::make_unique<SlowStartLimit>(limit); },
         .makeQueue = [queue = settings.queue] { return std::make_unique<FairQueue>(queue); },
         .choice = std::make_unique<LeastLoadedChoice>(),
         .budget = std::make_unique<TokenRetryBudget>(settings.retry),
--- a/Libraries/LibPolicy/DispatchOutcomes.cpp
+++ b/Libraries/LibPolicy/DispatchOutcomes.cpp
@@ -13,8 +13,8 @@
     constexpr double maxSlowness = 100;
     // Answers of servers slower than this do not shape the hedging delay: in a slow phase it must not grow.
     constexpr double maxSlownessForHedgeDelay = 2;
-    // Per tick without work, so that an idle server that was slow is tried again within about a second.
-    constexpr double slownessDecay = 0.97;
+    // Per tick without work, so that an idle server that was slow is tried again within one or two seconds.
+    constexpr double slownessDecay = 0.99;
     constexpr Core::Duration idleBeforeDecay = std::chrono::milliseconds(50);
     constexpr Core::Duration ejectionCheckInterval = std::chrono::milliseconds(50);
     // After this many good answers an earlier ejection no longer lengthens the next one.
@@ -87,7 +87,7 @@
         if (latency.count() <= 0)
             return ratio;
         ratio = route.ratio(latency);
-        route.observe(latency);
+        route.observe(now_, latency);
         if (server.slowness < maxSlownessForHedgeDelay)
             decisions_.hedge->observe(ratio);
     } else if (!permit.registered
@@ -118,7 +118,7 @@
         return;
     case AttemptOutcome::ConnectFailed:
         if (++server.failuresInRow >= settings_.ejection.failuresToPause && !server.ejected)
-            eject(index);
+            eject(index, true);
         break;
     case AttemptOutcome::ConnectionLost:
         if (report.serverUnreachable)
@@ -138,17 +138,18 @@
     ++counters_.crashes;
     server.limit->markCold(now_);
     if (!server.ejected)
-        eject(index);
+        eject(index, true);
     actions_->emplace_back(CrashSuspected { permit.fingerprint, server.name });
     if (decisions_.stopCrashingRequests)
         ledger_.recordCrash(now_, permit.fingerprint, server.name);
 }
 
-void DispatchGroup::State::eject(std::size_t index)
+void DispatchGroup::State::eject(std::size_t index, bool unreachable)
 {
     auto& server = servers_[index];
     auto const exponent = std::min(server.ejectionsInRow, 10U);
     server.ejected = true;
+    server.wasUnreachable = unreachable;
     server.ejectedUntil
         = now_ + std::min(settings_.ejection.baseTime * (std::int64_t { 1 } << exponent), settings_.ejection.maxTime);
     ++server.ejectionsInRow;
@@ -169,6 +170,7 @@
         nextEjectionCheck_ = now_ + ejectionCheckInterval;
         evaluateEjection();
     }
+    updateReferenceSlowness();
     for (std::size_t index = 0; index < servers_.size(); ++index) {
         auto& server = servers_[index];
         if (server.inFlight == 0 && now_ - server.lastProgress > idleBeforeDecay)
@@ -187,7 +189,10 @@
         server.ejected = false;
         server.slowness = 1;
         server.samples = 0;
-        server.limit->markCold(now_);
+        if (server.wasUnreachable)
+            server.limit->markCold(now_);
+        else
+            server.limit->beginProbation(now_);
         actions_->emplace_back(ServerReinstated { server.name });
         refresh(index);
     }
@@ -205,7 +210,7 @@
             health.push_back({ index, server.ejected, server.slowness, server.samples });
     }
     for (auto const index : decisions_.ejection->evaluate(health))
-        eject(index);
+        eject(index, false);
 }
 
 void DispatchGroup::State::expirePermits()
--- a/Libraries/LibPolicy/DispatchRequests.cpp
+++ b/Libraries/LibPolicy/DispatchRequests.cpp
@@ -13,6 +13,13 @@
     // Assumed time of a request before the first one was answered.
     constexpr Core::Duration defaultHoldTime = std::chrono::milliseconds(10);
     constexpr std::uint32_t permitPrefixShift = 40;
+    // Time left for the service itself, in typical latencies. A request that did not wait may try with less.
+    constexpr std::int64_t marginAtOnce = 1;
+    // About the 95th percentile of service: at overload each request that is granted but misses its deadline wastes
+    // capacity that another one could use.
+    constexpr std::int64_t marginAfterWait = 2;
+    // At admission the wait itself is an estimate.
+    constexpr std::int64_t marginAtAdmission = 4;
 } // namespace
 
 void DispatchGroup::State::handle(Acquire const& event)
@@ -86,7 +93,7 @@
         server = chooseServer(request, request.kind == AttemptKind::Hedge);
     if (server == none || !isAvailable(servers_[server]))
         return false;
-    if (!canMeetDeadline(request, {})) {
+    if (!canMeetDeadline(request, {}, marginAtOnce)) {
         refuseCharged(ticket, request, RefusalReason::DeadlineUnreachable, jittered(minRetryAfter));
         return true;
     }
@@ -119,7 +126,7 @@
     }
     QueueItem const item { ticket, request.priority, Core::hash64(request.caller.value), request.deadline };
     auto const wait = estimatedWait(item, owner);
-    if (started_ && !canMeetDeadline(request, wait)) {
+    if (started_ && !canMeetDeadline(request, wait, marginAtAdmission)) {
         auto const excess = now_ + wait - request.deadline + routes_[indexOfRoute(request.route)].value();
         refuseCharged(ticket, request, RefusalReason::DeadlineUnreachable, jittered(std::max(excess, minRetryAfter)));
         return;
@@ -220,16 +227,16 @@
     waiting_.erase(found);
 }
 
-bool DispatchGroup::State::canMeetDeadline(AcquireRequest const& request, Core::Duration wait)
+bool DispatchGroup::State::canMeetDeadline(AcquireRequest const& request, Core::Duration wait, std::int64_t margin)
 {
     if (request.deadline <= now_ + wait)
         return false;
     if (!decisions_.refuseEarly)
         return true;
     auto& route = routes_[indexOfRoute(request.route)];
-    if (now_ + wait + route.value() <= request.deadline)
+    if (now_ + wait + route.value() * margin <= request.deadline)
         return true;
-    route.doubt();
+    route.doubt(now_);
     return false;
 }
 
@@ -288,7 +295,7 @@
     auto const item = queue.pop();
     auto const ticket = item->ticket;
     auto const& request = waiting_.at(ticket).request;
-    if (!canMeetDeadline(request, {})) {
+    if (!canMeetDeadline(request, {}, marginAfterWait)) {
         refuseWaiting(ticket, RefusalReason::DeadlineUnreachable, jittered(minRetryAfter));
         return;
     }
--- a/Libraries/LibPolicy/DispatchServers.cpp
+++ b/Libraries/LibPolicy/DispatchServers.cpp
@@ -13,6 +13,8 @@
     constexpr std::size_t maxRoutes = 256;
     // A server that made no progress for this many average holding times is treated as that much slower.
     constexpr double stallThreshold = 3;
+    // Keeps the quotient finite.
+    constexpr double minReferenceSlowness = 0.05;
 } // namespace
 
 DispatchGroup::State::State(DispatchSettings const& settings, Decisions decisions, std::uint64_t seed)
@@ -169,10 +171,26 @@
 double DispatchGroup::State::effectiveSlowness(Server const& server) const
 {
     if (server.inFlight == 0 || holdTime_.count() == 0)
-        return server.slowness;
+        return server.slowness / referenceSlowness_;
     auto const stall
         = static_cast<double>((now_ - server.lastProgress).count()) / static_cast<double>(holdTime_.count());
-    return stall > stallThreshold ? std::max(server.slowness, stall) : server.slowness;
+    return (stall > stallThreshold ? std::max(server.slowness, stall) : server.slowness) / referenceSlowness_;
+}
+
+/// The lower quartile over the servers. The typical latency alone is no reference: with one slow server out of two it
+/// lies between both.
+void DispatchGroup::State::updateReferenceSlowness()
+{
+    std::vector<double> values;
+    for (auto const& server : servers_) {
+        if (isUsable(server) && !server.ejected && server.samples > 0)
+            values.push_back(server.slowness);
+    }
+    if (values.empty())
+        return;
+    auto const quartile = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 4);
+    std::ranges::nth_element(values, quartile);
+    referenceSlowness_ = std::max(*quartile, minReferenceSlowness);
 }
 
 double DispatchGroup::State::externalLoad(Server const& server) const
--- a/Libraries/LibPolicy/DispatchState.h
+++ b/Libraries/LibPolicy/DispatchState.h
@@ -55,6 +55,8 @@
         /// Work is held back until then.
         Core::TimePoint ejectedUntil;
         bool ejected { false };
+        /// Ejected because it could not be reached, so it may have restarted and be cold.
+        bool wasUnreachable { false };
         std::uint32_t ejectionsInRow { 0 };
         std::uint32_t failuresInRow { 0 };
         double slowness { 1 };
@@ -105,7 +107,8 @@
     void refuseCharged(TicketId, AcquireRequest const&, RefusalReason, Core::Duration retryAfter = {});
     void refuseWaiting(TicketId, RefusalReason, Core::Duration retryAfter = {});
     void forget(TicketId);
-    bool canMeetDeadline(AcquireRequest const&, Core::Duration wait);
+    /// `margin` is the time left for the service, in typical latencies of the route.
+    bool canMeetDeadline(AcquireRequest const&, Core::Duration wait, std::int64_t margin);
     Core::Duration estimatedWait(QueueItem const&, std::size_t owner) const;
     Core::Duration jittered(Core::Duration);
     WaitQueue& queueFor(std::size_t owner);
@@ -125,6 +128,7 @@
     bool isAvailable(Server const&) const;
     void refresh(std::size_t server);
     double effectiveSlowness(Server const&) const;
+    void updateReferenceSlowness();
     double externalLoad(Server const&) const;
     std::size_t ensureServer(Core::ServerName const&);
     void dropIfUnused(std::size_t server);
@@ -139,7 +143,7 @@
     double observeLatency(Server&, HeldPermit const&, ReleaseReport const&);
     void judge(std::size_t server, HeldPermit const&, ReleaseReport const&);
     void recordCrash(std::size_t server, HeldPermit const&);
-    void eject(std::size_t server);
+    void eject(std::size_t server, bool unreachable);
     void reinstateDue();
     void evaluateEjection();
     void expirePermits();
@@ -162,6 +166,7 @@
     /// Sum of the limits of the servers that get work.
     std::uint32_t capacity_ { 0 };
     Core::Duration holdTime_ { 0 };
+    double referenceSlowness_ { 1 };
     Core::TimePoint nextEjectionCheck_;
 
     std::unordered_map<Core::PermitId, HeldPermit> permits_;
--- a/Libraries/LibPolicy/LeastLoadedChoice.cpp
+++ b/Libraries/LibPolicy/LeastLoadedChoice.cpp
@@ -5,6 +5,12 @@
 
 namespace Policy {
 
+namespace {
+    // Up to this slowness a server counts as normal: the average of a few samples varies that much by chance, and
+    // following it would send the work to whichever server was lucky.
+    constexpr double normalSlowness = 2;
+} // namespace
+
 bool LeastLoadedChoice::Key::isBefore(Key const& other) const
 {
     if (available != other.available)
@@ -15,7 +21,7 @@
 void LeastLoadedChoice::update(std::size_t server, ServerLoad const& load)
 {
     ensureSize(server + 1);
-    keys_[server].score = (load.inFlight + 1 + load.external) * load.slowness;
+    keys_[server].score = (load.inFlight + 1 + load.external) * std::max(load.slowness / normalSlowness, 1.0);
     keys_[server].available = true;
     replay(server);
 }
--- a/Libraries/LibPolicy/ServerChoice.h
+++ b/Libraries/LibPolicy/ServerChoice.h
@@ -14,7 +14,7 @@
 struct ServerLoad {
     std::uint32_t inFlight { 0 };
     std::uint32_t limit { 1 };
-    /// Average latency relative to the typical latency of the routes.
+    /// Average latency relative to that of a good server of the group.
     double slowness { 1 };
     /// Requests of others that the server reported, reduced with the age of the report.
     double external { 0 };
--- a/Libraries/LibPolicy/ServerLimit.h
+++ b/Libraries/LibPolicy/ServerLimit.h
@@ -24,6 +24,9 @@
     virtual bool isCold() const = 0;
     virtual void setSlots(std::uint32_t) = 0;
     virtual void markCold(Core::TimePoint now) = 0;
+    /// The server was slow for a while. It starts with one request, but gets its former limit back as soon as its
+    /// latency is typical again.
+    virtual void beginProbation(Core::TimePoint now) = 0;
     /// This many requests are known to be in flight, granted by an earlier dispatcher.
     virtual void assumeDemonstrated(std::uint32_t) = 0;
     /// Whether the sample marked the server cold.
@@ -37,6 +40,7 @@
     bool isCold() const override { return false; }
     void setSlots(std::uint32_t slots) override { slots_ = std::max(slots, 1U); }
     void markCold(Core::TimePoint) override { }
+    void beginProbation(Core::TimePoint) override { }
     void assumeDemonstrated(std::uint32_t) override { }
     bool observe(AttemptSample const&) override { return false; }
 
--- a/Libraries/LibPolicy/SlowStartLimit.cpp
+++ b/Libraries/LibPolicy/SlowStartLimit.cpp
@@ -13,6 +13,10 @@
     constexpr double nearTypical = 1.1;
     // After this many windows of stable but higher latency the server is taken for permanently slower, not for cold.
     constexpr std::uint32_t plateauToAccept = 6;
+    // Answers in each of two windows that are compared to see whether latency returned to typical at once.
+    constexpr std::uint32_t probationWindow = 4;
+    // Mean ratio of the earlier window that counts as slow.
+    constexpr double clearlySlow = 2.4;
     constexpr Core::Duration maxStepInterval = std::chrono::seconds(30);
 } // namespace
 
@@ -37,9 +41,20 @@
     plateauWindows_ = 0;
     slowSigns_ = 0;
     shedSigns_ = 0;
+    formerLimit_ = 0;
     beginWindow();
 }
 
+void SlowStartLimit::beginProbation(Core::TimePoint now)
+{
+    auto const former = std::max(limit_, formerLimit_);
+    markCold(now);
+    formerLimit_ = former;
+    probationAnswers_ = 0;
+    probationSum_ = 0;
+    probationPrevious_ = clearlySlow;
+}
+
 void SlowStartLimit::assumeDemonstrated(std::uint32_t inFlight)
 {
     limit_ = std::min(std::max(limit_, inFlight), slots_);
@@ -58,10 +73,9 @@
         onShed(sample);
         break;
     case AttemptOutcome::TimedOut:
-        slowSigns_ |= 1U;
-        break;
     case AttemptOutcome::Cancelled:
-        // A hedge that won cancels the slower attempt; its age is a lower bound of its latency.
+        // The age of the attempt is a lower bound of its latency. A request that waited long before it was granted
+        // times out early, which says nothing about the server.
         slowSigns_ |= sample.ratio > settings_.coldRatio ? 1U : 0U;
         break;
     default:
@@ -71,7 +85,10 @@
         + shedWeight * static_cast<std::uint32_t>(std::popcount(shedSigns_));
     if (signs < settings_.coldSigns || limit_ <= settings_.coldLimit)
         return false;
-    markCold(sample.now);
+    if (shedSigns_ == 0)
+        beginProbation(sample.now);
+    else
+        markCold(sample.now);
     return true;
 }
 
@@ -81,6 +98,8 @@
         slowSigns_ |= 1U;
     if (limit_ >= slots_)
         return;
+    if (formerLimit_ > 0)
+        considerRestoring(sample);
     ++answers_;
     ratioSum_ += sample.ratio;
     limitReached_ = limitReached_ || sample.inFlight >= limit_;
@@ -88,6 +107,23 @@
         considerStep(sample.now);
 }
 
+void SlowStartLimit::considerRestoring(AttemptSample const& sample)
+{
+    probationSum_ += sample.ratio;
+    if (++probationAnswers_ < probationWindow)
+        return;
+    auto const mean = probationSum_ / probationAnswers_;
+    if (mean <= settings_.maxWarmRatio && probationPrevious_ >= clearlySlow) {
+        limit_ = std::min(std::max(limit_, formerLimit_), slots_);
+        formerLimit_ = 0;
+    } else if (mean <= settings_.maxWarmRatio) {
+        formerLimit_ = 0;
+    }
+    probationPrevious_ = mean;
+    probationAnswers_ = 0;
+    probationSum_ = 0;
+}
+
 void SlowStartLimit::considerStep(Core::TimePoint now)
 {
     auto const mean = ratioSum_ / answers_;
@@ -109,6 +145,7 @@
 void SlowStartLimit::onShed(AttemptSample const& sample)
 {
     limit_ = std::max(std::min(limit_, sample.inFlight) - (limit_ > 1 && sample.inFlight > 1 ? 1U : 0U), 1U);
+    formerLimit_ = 0;
     stepInterval_ = std::min(stepInterval_ * 2, maxStepInterval);
     lastStep_ = sample.now;
     previousRatio_ = 0;
--- a/Libraries/LibPolicy/SlowStartLimit.h
+++ b/Libraries/LibPolicy/SlowStartLimit.h
@@ -10,6 +10,10 @@
 /// A cold server starts with one request. The limit rises by one when the server answered enough requests at the
 /// current limit, the latency is near the typical one and no longer falls, and the step interval has passed. A shed
 /// request lowers the limit and doubles the step interval of this server.
+///
+/// A server that was cut back because of latency alone may be a straggler or cold. The latency of a straggler falls at
+/// once when its slow phase ends, that of a cold server falls gradually with the work it does. A sudden return to the
+/// typical latency therefore restores the former limit.
 class SlowStartLimit final : public ServerLimit {
 public:
     explicit SlowStartLimit(LimitSettings const&);
@@ -18,6 +22,7 @@
     bool isCold() const override { return limit_ < slots_; }
     void setSlots(std::uint32_t) override;
     void markCold(Core::TimePoint now) override;
+    void beginProbation(Core::TimePoint now) override;
     void assumeDemonstrated(std::uint32_t) override;
     bool observe(AttemptSample const&) override;
 
@@ -26,6 +31,7 @@
     void onShed(AttemptSample const&);
     void considerStep(Core::TimePoint now);
     void beginWindow();
+    void considerRestoring(AttemptSample const&);
 
     LimitSettings settings_;
     std::uint32_t slots_ { 1 };
@@ -39,6 +45,12 @@
     /// Mean ratio of the window before; zero when there is none.
     double previousRatio_ { 0 };
     std::uint32_t plateauWindows_ { 0 };
+    /// The limit before the server was cut back because of latency; zero when there is nothing to restore.
+    std::uint32_t formerLimit_ { 0 };
+    std::uint32_t probationAnswers_ { 0 };
+    double probationSum_ { 0 };
+    /// Mean ratio of the probation window before.
+    double probationPrevious_ { 0 };
     /// One bit for each of the last 16 outcomes.
     std::uint16_t slowSigns_ { 0 };
     std::uint16_t shedSigns_ { 0 };
--- a/Libraries/LibPolicy/TypicalLatency.cpp
+++ b/Libraries/LibPolicy/TypicalLatency.cpp
@@ -8,10 +8,13 @@
     // Smallest step of the estimate relative to its value: it doubles within about 35 samples.
     constexpr double minStep = 0.02;
     constexpr double doubtFactor = 0.99;
+    // At overload many requests are refused while answers keep the estimate right.
+    constexpr Core::Duration timeWithoutSample = std::chrono::milliseconds(200);
 } // namespace
 
-void TypicalLatency::observe(Core::Duration latency)
+void TypicalLatency::observe(Core::TimePoint now, Core::Duration latency)
 {
+    lastSample_ = now;
     ++samples_;
     auto const sample = static_cast<double>(std::max<Core::Duration::rep>(latency.count(), 1));
     if (samples_ == 1) {
@@ -27,6 +30,10 @@
     return samples_ == 0 || nanoseconds_ <= 0 ? 1 : static_cast<double>(latency.count()) / nanoseconds_;
 }
 
-void TypicalLatency::doubt() { nanoseconds_ *= doubtFactor; }
+void TypicalLatency::doubt(Core::TimePoint now)
+{
+    if (now - lastSample_ > timeWithoutSample)
+        nanoseconds_ *= doubtFactor;
+}
 
 } // namespace Policy
--- a/Libraries/LibPolicy/TypicalLatency.h
+++ b/Libraries/LibPolicy/TypicalLatency.h
@@ -10,18 +10,19 @@
 /// server that runs slow routes is not taken for a slow server.
 class TypicalLatency {
 public:
-    void observe(Core::Duration);
+    void observe(Core::TimePoint now, Core::Duration);
     /// Zero before the first sample.
     Core::Duration value() const { return Core::Duration { static_cast<Core::Duration::rep>(nanoseconds_) }; }
     /// The latency relative to the typical one. 1 before the first sample.
     double ratio(Core::Duration) const;
-    /// Lowers the estimate slightly. Called for each request that is refused because of it: without new samples a too
-    /// high estimate would otherwise never be corrected.
-    void doubt();
+    /// Lowers the estimate slightly when no sample has come for a while. Called for each request that is refused
+    /// because of it: a too high estimate would otherwise refuse all work and never be corrected.
+    void doubt(Core::TimePoint now);
 
 private:
     double nanoseconds_ { 0 };
     std::uint64_t samples_ { 0 };
+    Core::TimePoint lastSample_;
 };
 
 } // namespace Policy
--- a/Tests/LibPolicy/TestLimits.cpp
+++ b/Tests/LibPolicy/TestLimits.cpp
@@ -98,6 +98,29 @@
     BOOST_TEST(limit.current() == 1U);
 }
 
+/// Guards against a straggler that is left with one request long after its slow phase has ended.
+BOOST_AUTO_TEST_CASE(StragglerGetsItsLimitBackAtOnce)
+{
+    auto limit = limitFor(4);
+    Core::TimePoint now { 1h };
+    answer(limit, now, 300, 1);
+    answer(limit, now, 7, 10);
+    BOOST_TEST(limit.current() == 1U);
+    answer(limit, now, 5, 1);
+    BOOST_TEST(limit.current() == 4U);
+}
+
+/// Guards against taking a server that slowly warms up for a straggler whose slow phase has ended.
+BOOST_AUTO_TEST_CASE(GradualWarmingDoesNotRestoreTheLimit)
+{
+    auto limit = limitFor(4);
+    Core::TimePoint now { 1h };
+    answer(limit, now, 300, 1);
+    for (double ratio = 5; ratio > 1.4; ratio *= 0.95)
+        answer(limit, now, 1, ratio);
+    BOOST_TEST(limit.current() == 1U);
+}
+
 /// Guards against warming up at the same pace again after that pace proved too fast.
 BOOST_AUTO_TEST_CASE(ShedRequestWhileWarmingSlowsTheNextSteps)
 {
--- a/Tests/LibPolicy/TestQueue.cpp
+++ b/Tests/LibPolicy/TestQueue.cpp
@@ -124,6 +124,7 @@
     auto const slow = fixture.granted(fixture.ownedBy("a"));
     fixture.advance(1s);
     fixture.release(slow, AttemptOutcome::Answered, 1s);
+    fixture.advance(300ms);
     int refusals = 0;
     for (; refusals < 1000; ++refusals) {
         auto request = fixture.ownedBy("a");
@@ -134,4 +135,25 @@
     BOOST_TEST(refusals < 500);
 }
 
+/// Guards against refusals at overload that push the latency estimate to zero, after which every answer looks slow and
+/// marks its server cold.
+BOOST_AUTO_TEST_CASE(RefusalsDoNotDistortTheEstimateWhileAnswersArrive)
+{
+    GroupFixture fixture;
+    fixture.addServer("a");
+    fixture.warm("a");
+    for (int i = 0; i < 20; ++i) {
+        auto const permit = fixture.granted(fixture.ownedBy("a"));
+        for (int n = 0; n < 100; ++n) {
+            auto hopeless = fixture.ownedBy("a");
+            hopeless.deadline = fixture.now + 10ms;
+            fixture.refused(hopeless);
+        }
+        fixture.advance(20ms);
+        fixture.release(permit, AttemptOutcome::Answered, 20ms);
+    }
+    BOOST_TEST(fixture.status("a").limit == 2);
+    BOOST_TEST(fixture.status("a").slowness < 1.5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Utilities/PolicyBench/BaselineLimits.h
+++ b/Utilities/PolicyBench/BaselineLimits.h
@@ -16,6 +16,7 @@
     bool isCold() const override { return limit_ < slots_; }
     void setSlots(std::uint32_t slots) override { slots_ = slots; }
     void markCold(Core::TimePoint) override { limit_ = 1; }
+    void beginProbation(Core::TimePoint) override { }
     void assumeDemonstrated(std::uint32_t) override { }
     bool observe(Policy::AttemptSample const&) override;
 
@@ -72,6 +73,7 @@
     bool isCold() const override { return false; }
     void setSlots(std::uint32_t) override { }
     void markCold(Core::TimePoint now) override { allocator_.markCold(server_, now); }
+    void beginProbation(Core::TimePoint) override { }
     void assumeDemonstrated(std::uint32_t) override { }
     bool observe(Policy::AttemptSample const& sample) override
     {
--- a/Utilities/PolicyBench/Fleet.cpp
+++ b/Utilities/PolicyBench/Fleet.cpp
@@ -187,8 +187,6 @@
     }
     request.done = true;
     abandonAttempts(request, AttemptOutcome::Cancelled);
-    if (request.arrival < resultsSince_)
-        return;
     ++results.answered;
     results.latencies.push_back(std::chrono::duration<double, std::milli>(now() - request.arrival).count());
     auto const interval = static_cast<std::size_t>((now() - resultsSince_) / resultInterval);
@@ -199,10 +197,14 @@
 
 void Fleet::scheduleHedge(std::size_t index, std::uint64_t id, Core::Duration after)
 {
-    simulation.after(after, [this, index, id] {
+    simulation.after(after, [this, index, id, after] {
         auto const& request = requests_[index];
-        if (!request.done && request.live.contains(id) && hostAlive_[request.host])
+        if (request.done || !request.live.contains(id) || !hostAlive_[request.host])
+            return;
+        // A refused hedge is asked for again: another server may be free by then.
+        if (request.live.size() == 1 && request.pending == 0)
             submit(index, AttemptKind::Hedge, std::nullopt);
+        scheduleHedge(index, id, after);
     });
 }
 
@@ -244,8 +246,7 @@
 {
     auto& request = requests_[index];
     request.done = true;
-    if (request.arrival >= resultsSince_)
-        ++(refused ? results.refused : results.failed);
+    ++(refused ? results.refused : results.failed);
     if (request.resends == 0)
         return;
     simulation.after(resendDelay, [this, index] {
