--- a/Utilities/PolicyBench/Fleet.cpp
+++ b/Utilities/PolicyBench/Fleet.cpp
@@ -84,10 +84,25 @@
         request.crasher = true;
         request.resends = resends;
         request.acquire.fingerprint = { fingerprint, crasherMark };
+        bindToOwner(request.acquire, fingerprint);
         begin(index);
     }
 }
 
+/// The same key has the same owner, until that one is lost.
+void Fleet::bindToOwner(Policy::AcquireRequest& request, std::uint64_t key) const
+{
+    if (!request.owner)
+        return;
+    for (std::size_t step = 0; step < backends.size(); ++step) {
+        auto const& backend = *backends[(key + step) % backends.size()];
+        if (!backend.isDown()) {
+            request.owner = Core::ServerName { backend.name() };
+            return;
+        }
+    }
+}
+
 void Fleet::begin(std::size_t index)
 {
     ++results.offered;
@@ -172,8 +187,6 @@
     }
     request.done = true;
     abandonAttempts(request, AttemptOutcome::Cancelled);
-    if (request.arrival < resultsSince_)
-        return;
     ++results.answered;
     results.latencies.push_back(std::chrono::duration<double, std::milli>(now() - request.arrival).count());
     auto const interval = static_cast<std::size_t>((now() - resultsSince_) / resultInterval);
@@ -184,10 +197,14 @@
 
 void Fleet::scheduleHedge(std::size_t index, std::uint64_t id, Core::Duration after)
 {
-    simulation.after(after, [this, index, id] {
+    simulation.after(after, [this, index, id, after] {
         auto const& request = requests_[index];
-        if (!request.done && request.live.contains(id) && hostAlive_[request.host])
+        if (request.done || !request.live.contains(id) || !hostAlive_[request.host])
+            return;
+        // A refused hedge is asked for again: another server may be free by then.
+        if (request.live.size() == 1 && request.pending == 0)
             submit(index, AttemptKind::Hedge, std::nullopt);
+        scheduleHedge(index, id, after);
     });
 }
 
@@ -229,8 +246,7 @@
 {
     auto& request = requests_[index];
     request.done = true;
-    if (request.arrival >= resultsSince_)
-        ++(refused ? results.refused : results.failed);
+    ++(refused ? results.refused : results.failed);
     if (request.resends == 0)
         return;
     simulation.after(resendDelay, [this, index] {
@@ -239,6 +255,7 @@
         resent.crasher = true;
         resent.resends = requests_[index].resends - 1;
         resent.acquire.fingerprint = requests_[index].acquire.fingerprint;
+        bindToOwner(resent.acquire, resent.acquire.fingerprint.high);
         begin(next);
     });
 }
