--- a/Libraries/LibProxy/AttemptPlanner.cpp
+++ b/Libraries/LibProxy/AttemptPlanner.cpp
@@ -10,6 +10,8 @@
 
     /// How often a request that waits for an owner looks at the view.
     constexpr Core::Duration ownerPollInterval = std::chrono::milliseconds(10);
+    /// A caller that waited less for its permit is assumed to be still there; the check costs a system call.
+    constexpr Core::Duration hangUpCheckAfter = std::chrono::milliseconds(1);
     /// At most this share of the connections may wait for owners, so that other slots keep being served.
     constexpr std::uint32_t heldShare = 4;
 
@@ -172,7 +174,8 @@
             }
         }
         AttemptPlan plan { .permit = TRY(acquire(environment, context, kind, target, excluded)), .kind = kind };
-        auto const callerLeft = !context.isClaimed && hasHungUp(context.caller.descriptor());
+        auto const waited = context.record.permitWait > hangUpCheckAfter;
+        auto const callerLeft = waited && !context.isClaimed && hasHungUp(context.caller.descriptor());
         if (!callerLeft && settle(environment, context, target, plan))
             return plan;
         plan.slotUse.end();
--- a/Utilities/LoadTool/LoadRun.cpp
+++ b/Utilities/LoadTool/LoadRun.cpp
@@ -113,6 +113,7 @@
                 if (scheduled >= end)
                     break;
                 results_.push_back(runRequest(scheduled));
+                results_.back().isWarmUp = scheduled < begin + plan_.warmUp;
                 scheduled += interval;
             }
         }
@@ -148,7 +149,8 @@
             };
             auto mayHaveRun = false;
             for (std::uint32_t sends = 1;; ++sends) {
-                auto const sent = sendOnce(*clients_[random_.below(clients_.size())], request);
+                auto const choice = plan_.isSticky ? number_ % clients_.size() : random_.below(clients_.size());
+                auto const sent = sendOnce(*clients_[choice], request);
                 result.status = sent.status;
                 result.reason = sent.reason;
                 result.ending = sent.ending;
@@ -190,7 +192,7 @@
         for (auto& worker : workers)
             threads.emplace_back([&worker, begin] { worker->run(begin); });
     }
-    auto const seconds = std::chrono::duration<double>(Core::BootClock::now() - begin).count();
+    auto const seconds = std::chrono::duration<double>(Core::BootClock::now() - begin - plan.warmUp).count();
     for (auto& worker : workers) {
         for (auto& result : worker->results())
             report.add(std::move(result));
--- a/Utilities/LoadTool/Main.cpp
+++ b/Utilities/LoadTool/Main.cpp
@@ -17,7 +17,9 @@
         "connections", "Connections, one thread each", cxxopts::value<std::uint32_t>()->default_value("16"))(
         "rate", "Requests per second, 0 for as fast as possible", cxxopts::value<double>()->default_value("0"))(
         "requests", "Bound of requests", cxxopts::value<std::uint64_t>()->default_value("10000"))(
-        "seconds", "Bound of time", cxxopts::value<std::uint32_t>()->default_value("30"))(
+        "seconds", "Bound of time", cxxopts::value<std::uint32_t>()->default_value("30"))("warm-up",
+        "Seconds at the start that do not count in throughput and latencies",
+        cxxopts::value<std::uint32_t>()->default_value("0"))("sticky", "Keep each connection to one entry host")(
         "keys", "Distinct keys", cxxopts::value<std::uint64_t>()->default_value("1000"))("upload-bytes",
         "Body size of uploads and scans", cxxopts::value<std::uint64_t>()->default_value("65536"))("max-sends",
         "Sends per request, resends included", cxxopts::value<std::uint32_t>()->default_value("5"))("keyed-share",
@@ -38,6 +40,8 @@
         .maxTime = std::chrono::seconds(arguments["seconds"].as<std::uint32_t>()),
         .keys = std::max<std::uint64_t>(1, arguments["keys"].as<std::uint64_t>()),
         .uploadBytes = arguments["upload-bytes"].as<std::uint64_t>(),
+        .warmUp = std::chrono::seconds(arguments["warm-up"].as<std::uint32_t>()),
+        .isSticky = arguments.count("sticky") > 0,
         .maxSends = arguments["max-sends"].as<std::uint32_t>(),
         .keyedShare = arguments["keyed-share"].as<double>(),
         .seed = arguments["seed"].as<std::uint64_t>(),
--- a/Utilities/LoadTool/Report.cpp
+++ b/Utilities/LoadTool/Report.cpp
@@ -72,7 +72,7 @@
 {
     std::vector<std::uint32_t> values;
     for (auto const& result : results_) {
-        if (result.ending == Ending::Answered)
+        if (result.ending == Ending::Answered && !result.isWarmUp)
             values.push_back(result.latencyMicroseconds);
     }
     std::ranges::sort(values);
--- a/Utilities/LoadTool/Report.h
+++ b/Utilities/LoadTool/Report.h
@@ -23,6 +23,7 @@
     int status { 0 };
     std::string reason;
     std::uint32_t latencyMicroseconds { 0 };
+    bool isWarmUp { false };
 };
 
 struct Row {
