--- a/Libraries/LibProxy/Collaborators.h
+++ b/Libraries/LibProxy/Collaborators.h
@@ -49,7 +49,7 @@
     std::string body;
 };
 
-inline constexpr std::size_t maxKeptAnswerBytes = 8 * 1024;
+inline constexpr std::size_t maxKeptAnswerBytes = 8UL * 1024;
 
 /// The order may run. The claim is committed by the control quorum.
 struct OrderClaimed { };
--- a/Utilities/BareRelay/LocalControl.cpp
+++ b/Utilities/BareRelay/LocalControl.cpp
@@ -172,13 +172,10 @@
     return found->second.state;
 }
 
-void LocalControl::setOrder(Proxy::OrderKey const& key, std::optional<Proxy::ClaimResult> state)
+void LocalControl::setOrder(Proxy::OrderKey const& key, Proxy::ClaimResult state)
 {
     std::scoped_lock const lock(ordersMutex_);
-    if (!state)
-        orders_.erase(toText(key));
-    else
-        orders_[toText(key)].state = std::move(*state);
+    orders_[toText(key)].state = std::move(state);
 }
 
 void LocalControl::complete(Proxy::OrderKey const& key, Core::RequestId, std::optional<Proxy::KeptAnswer> answer)
@@ -186,7 +183,11 @@
     setOrder(key, Proxy::OrderCompleted { std::move(answer) });
 }
 
-void LocalControl::abandon(Proxy::OrderKey const& key, Core::RequestId) { setOrder(key, std::nullopt); }
+void LocalControl::abandon(Proxy::OrderKey const& key, Core::RequestId)
+{
+    std::scoped_lock const lock(ordersMutex_);
+    orders_.erase(toText(key));
+}
 
 void LocalControl::markUnknown(Proxy::OrderKey const& key, Core::RequestId) { setOrder(key, Proxy::OrderUnknown {}); }
 
--- a/Utilities/BareRelay/LocalControl.h
+++ b/Utilities/BareRelay/LocalControl.h
@@ -57,7 +57,7 @@
 
     Group& groupOf(Core::PoolName const&);
     std::shared_ptr<Routing::View> buildView() const;
-    void setOrder(Proxy::OrderKey const&, std::optional<Proxy::ClaimResult>);
+    void setOrder(Proxy::OrderKey const&, Proxy::ClaimResult);
 
     std::shared_ptr<Routing::RoutingTable const> table_;
     mutable std::mutex viewMutex_;
