--- a/Libraries/LibConfig/SettingsCatalogue.cpp
+++ b/Libraries/LibConfig/SettingsCatalogue.cpp
@@ -49,7 +49,7 @@
         }
 
         /// A value whose parser returns whether the text was accepted. Required when there is no default.
-        void text(std::string_view key, std::optional<std::string> defaultValue, std::string expected,
+        void text(std::string_view key, std::optional<std::string> const& defaultValue, std::string const& expected,
             std::string_view meaning, std::function<bool(Section&, std::string_view)> parse)
         {
             auto const isRequired = !defaultValue;
--- a/Libraries/LibConfig/Units.cpp
+++ b/Libraries/LibConfig/Units.cpp
@@ -18,9 +18,9 @@
         { "us", 1'000 },
         { "ms", 1'000'000 },
         { "s", nanosecondsPerSecond },
-        { "min", 60 * nanosecondsPerSecond },
-        { "h", 3600 * nanosecondsPerSecond },
-        { "d", 24 * 3600 * nanosecondsPerSecond },
+        { "min", 60ULL * nanosecondsPerSecond },
+        { "h", 3600ULL * nanosecondsPerSecond },
+        { "d", 24ULL * 3600 * nanosecondsPerSecond },
     } };
     constexpr std::array<Unit, 4> sizeTable { {
         { "B", 1 },
--- a/Libraries/LibOperator/OperatorServer.cpp
+++ b/Libraries/LibOperator/OperatorServer.cpp
@@ -20,10 +20,10 @@
     constexpr int statusNotFound = 404;
     constexpr int statusInternalError = 500;
 
-    void respond(httplib::Response& response, int status, std::string body)
+    void respond(httplib::Response& response, int status, std::string const& body)
     {
         response.status = status;
-        response.set_content(std::move(body), jsonContentType);
+        response.set_content(body, jsonContentType);
     }
 
     void respond(httplib::Response& response, OperatorError const& error)
@@ -99,7 +99,7 @@
             auto outcome = handler(request);
             auto isForwarded = false;
             if (!outcome.isError()) {
-                respond(response, statusOk, std::move(outcome).value());
+                respond(response, statusOk, outcome.value());
             } else {
                 auto const* notLeader = std::get_if<NotLeader>(&outcome.error());
                 isForwarded = notLeader && notLeader->endpoint && !request.has_header(forwardedHeader);
@@ -123,7 +123,7 @@
         HttpRequest const forwarded { leader, request.method, request.target, request.body, true };
         auto exchanged = exchange(forwarded, { settings.forwardTimeout, timeout });
         if (!exchanged.isError()) {
-            respond(response, exchanged.value().status, std::move(exchanged.value().body));
+            respond(response, exchanged.value().status, exchanged.value().body);
             return;
         }
         if (exchanged.error().mayHaveArrived)
