--- a/Libraries/LibRpc/Rpc.capnp
+++ b/Libraries/LibRpc/Rpc.capnp
@@ -162,4 +162,7 @@
 
   # What operators' requests need to know about a process.
   info @8 () -> (host :Text, operatorApi :Text, version :UInt32);
+
+  # From entry hosts to each control host: usage batches, one line each. Answered when they are durable.
+  reportUsage @9 (batches :List(Text));
 }
--- a/Libraries/LibRpc/Rpc.capnp.cpp
+++ b/Libraries/LibRpc/Rpc.capnp.cpp
@@ -2242,7 +2242,7 @@
   1, 4, i_e57e0bf030355d25, nullptr, nullptr, { &s_e57e0bf030355d25, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<112> b_e7599a08eaadb277 = {
+static const ::capnp::_::AlignedData<123> b_e7599a08eaadb277 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     119, 178, 173, 234,   8, 154,  89, 231,
      17,   0,   0,   0,   3,   0,   0,   0,
@@ -2252,86 +2252,94 @@
      21,   0,   0,   0, 178,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  71,   2,   0,   0,
-    145,   1,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0, 135,   2,   0,   0,
+    189,   1,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      76, 105,  98,  82, 112,  99,  47,  82,
     112,  99,  46,  99,  97, 112, 110, 112,
      58,  72, 111, 115, 116,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     36,   0,   0,   0,   3,   0,   5,   0,
+     40,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     117, 128,  48, 139,  25, 122, 222, 171,
     246,  30, 127, 234,  34,  51,  74, 187,
-     17,   1,   0,   0,  66,   0,   0,   0,
+     49,   1,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-      5,   1,   0,   0,   7,   0,   0,   0,
+     37,   1,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     252,  47,  26, 113, 112, 142, 252, 206,
      28,  73,   8, 215, 242, 185,  90, 166,
-    249,   0,   0,   0,  82,   0,   0,   0,
+     25,   1,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    241,   0,   0,   0,   7,   0,   0,   0,
+     17,   1,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      62, 124, 135,  98, 129, 133, 132, 214,
     176, 124, 105, 241,  64, 215,  71, 181,
-    229,   0,   0,   0,  50,   0,   0,   0,
+      5,   1,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    217,   0,   0,   0,   7,   0,   0,   0,
+    249,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      88,  72,  31, 223, 182, 215,   8, 169,
      29,  99, 183, 158,  61,  10, 171, 232,
-    205,   0,   0,   0, 106,   0,   0,   0,
+    237,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    197,   0,   0,   0,   7,   0,   0,   0,
+    229,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
      23,  58, 231, 172, 165, 246, 116, 182,
     152, 162, 250, 183, 126, 171,  55, 152,
-    185,   0,   0,   0,  98,   0,   0,   0,
+    217,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    177,   0,   0,   0,   7,   0,   0,   0,
+    209,   0,   0,   0,   7,   0,   0,   0,
       5,   0,   0,   0,   0,   0,   0,   0,
      71, 221, 160,  37, 200,  81, 139, 206,
     161, 180, 210, 160,   3, 156, 143, 190,
-    165,   0,   0,   0,  66,   0,   0,   0,
+    197,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    153,   0,   0,   0,   7,   0,   0,   0,
+    185,   0,   0,   0,   7,   0,   0,   0,
       6,   0,   0,   0,   0,   0,   0,   0,
     148, 183, 171, 235,  15, 185, 245, 253,
      57, 173,  76, 102, 170,   1, 201, 153,
-    141,   0,   0,   0,  66,   0,   0,   0,
+    173,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    129,   0,   0,   0,   7,   0,   0,   0,
+    161,   0,   0,   0,   7,   0,   0,   0,
       7,   0,   0,   0,   0,   0,   0,   0,
       2, 131,  25,  75, 119,  42, 136, 180,
     141, 146,   8, 216,  21, 213,  56, 227,
-    117,   0,   0,   0, 106,   0,   0,   0,
+    149,   0,   0,   0, 106,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    109,   0,   0,   0,   7,   0,   0,   0,
+    141,   0,   0,   0,   7,   0,   0,   0,
       8,   0,   0,   0,   0,   0,   0,   0,
      54,  81, 159, 229, 140,  33, 170, 149,
     142, 146, 244, 141, 211, 169, 145, 218,
-     97,   0,   0,   0,  42,   0,   0,   0,
+    129,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    117,   0,   0,   0,   7,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+    147, 162, 199,   7, 167, 132,  11, 217,
+     19, 113,  60, 198,  74, 124, 183, 188,
+    105,   0,   0,   0,  98,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     85,   0,   0,   0,   7,   0,   0,   0,
+     97,   0,   0,   0,   7,   0,   0,   0,
     100, 101, 108, 105, 118, 101, 114,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     104, 101,  97, 114, 116,  98, 101,  97,
@@ -2354,6 +2362,9 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     105, 110, 102, 111,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    114, 101, 112, 111, 114, 116,  85, 115,
+     97, 103, 101,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_e7599a08eaadb277 = b_e7599a08eaadb277.words;
@@ -2369,19 +2380,21 @@
   &s_b547d740f1697cb0,
   &s_b674f6a5ace73a17,
   &s_bb4a3322ea7f1ef6,
+  &s_bcb77c4ac63c7113,
   &s_be8f9c03a0d2b4a1,
   &s_ce8b51c825a0dd47,
   &s_cefc8e70711a2ffc,
   &s_d684858162877c3e,
+  &s_d90b84a707c7a293,
   &s_da91a9d38df4928e,
   &s_e338d515d808928d,
   &s_e8ab0a3d9eb7631d,
   &s_fdf5b90febabb794,
 };
-static const uint16_t m_e7599a08eaadb277[] = {5, 3, 0, 1, 8, 2, 7, 6, 4};
+static const uint16_t m_e7599a08eaadb277[] = {5, 3, 0, 1, 8, 2, 7, 6, 4, 9};
 const ::capnp::_::RawSchema s_e7599a08eaadb277 = {
-  0xe7599a08eaadb277, b_e7599a08eaadb277.words, 112, d_e7599a08eaadb277, m_e7599a08eaadb277,
-  18, 9, nullptr, nullptr, nullptr, { &s_e7599a08eaadb277, nullptr, nullptr, 0, 0, nullptr }
+  0xe7599a08eaadb277, b_e7599a08eaadb277.words, 123, d_e7599a08eaadb277, m_e7599a08eaadb277,
+  20, 10, nullptr, nullptr, nullptr, { &s_e7599a08eaadb277, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_abde7a198b308075 = {
@@ -3306,6 +3319,82 @@
   0, 3, i_da91a9d38df4928e, nullptr, nullptr, { &s_da91a9d38df4928e, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<38> b_d90b84a707c7a293 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    147, 162, 199,   7, 167, 132,  11, 217,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  74,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76, 105,  98,  82, 112,  99,  47,  82,
+    112,  99,  46,  99,  97, 112, 110, 112,
+     58,  72, 111, 115, 116,  46, 114, 101,
+    112, 111, 114, 116,  85, 115,  97, 103,
+    101,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     36,   0,   0,   0,   2,   0,   1,   0,
+     98,  97, 116,  99, 104, 101, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d90b84a707c7a293 = b_d90b84a707c7a293.words;
+#if !CAPNP_LITE
+static const uint16_t m_d90b84a707c7a293[] = {0};
+static const uint16_t i_d90b84a707c7a293[] = {0};
+const ::capnp::_::RawSchema s_d90b84a707c7a293 = {
+  0xd90b84a707c7a293, b_d90b84a707c7a293.words, 38, nullptr, m_d90b84a707c7a293,
+  0, 1, i_d90b84a707c7a293, nullptr, nullptr, { &s_d90b84a707c7a293, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<18> b_bcb77c4ac63c7113 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     19, 113,  60, 198,  74, 124, 183, 188,
+     22,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  82,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76, 105,  98,  82, 112,  99,  47,  82,
+    112,  99,  46,  99,  97, 112, 110, 112,
+     58,  72, 111, 115, 116,  46, 114, 101,
+    112, 111, 114, 116,  85, 115,  97, 103,
+    101,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_bcb77c4ac63c7113 = b_bcb77c4ac63c7113.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_bcb77c4ac63c7113 = {
+  0xbcb77c4ac63c7113, b_bcb77c4ac63c7113.words, 18, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_bcb77c4ac63c7113, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -3581,6 +3670,16 @@
       "LibRpc/Rpc.capnp:Host", "info",
       0xe7599a08eaadb277ull, 8);
 }
+::capnp::Request< ::Rpc::Wire::Host::ReportUsageParams,  ::Rpc::Wire::Host::ReportUsageResults>
+Host::Client::reportUsageRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::Rpc::Wire::Host::ReportUsageParams,  ::Rpc::Wire::Host::ReportUsageResults>(
+      0xe7599a08eaadb277ull, 9, sizeHint);
+}
+::kj::Promise<void> Host::Server::reportUsage(ReportUsageContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "LibRpc/Rpc.capnp:Host", "reportUsage",
+      0xe7599a08eaadb277ull, 9);
+}
 ::capnp::Capability::Server::DispatchCallResult Host::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3649,6 +3748,12 @@
              ::Rpc::Wire::Host::InfoParams,  ::Rpc::Wire::Host::InfoResults>(context)),
         false
       };
+    case 9:
+      return {
+        reportUsage(::capnp::Capability::Server::internalGetTypedContext<
+             ::Rpc::Wire::Host::ReportUsageParams,  ::Rpc::Wire::Host::ReportUsageResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3808,6 +3913,22 @@
 constexpr ::capnp::_::RawSchema const* Host::InfoResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Host::ReportUsageParams
+constexpr uint16_t Host::ReportUsageParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Host::ReportUsageParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Host::ReportUsageParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Host::ReportUsageParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Host::ReportUsageResults
+constexpr uint16_t Host::ReportUsageResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Host::ReportUsageResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Host::ReportUsageResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Host::ReportUsageResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/Libraries/LibRpc/Rpc.capnp.h
+++ b/Libraries/LibRpc/Rpc.capnp.h
@@ -62,6 +62,8 @@
 CAPNP_DECLARE_SCHEMA(e338d515d808928d);
 CAPNP_DECLARE_SCHEMA(95aa218ce59f5136);
 CAPNP_DECLARE_SCHEMA(da91a9d38df4928e);
+CAPNP_DECLARE_SCHEMA(d90b84a707c7a293);
+CAPNP_DECLARE_SCHEMA(bcb77c4ac63c7113);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -457,6 +459,8 @@
   struct RegisterHeldResults;
   struct InfoParams;
   struct InfoResults;
+  struct ReportUsageParams;
+  struct ReportUsageResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -736,6 +740,36 @@
   };
 };
 
+struct Host::ReportUsageParams {
+  ReportUsageParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d90b84a707c7a293, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Host::ReportUsageResults {
+  ReportUsageResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bcb77c4ac63c7113, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class ViewServer::Reader {
@@ -3084,6 +3118,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::Rpc::Wire::Host::InfoParams,  ::Rpc::Wire::Host::InfoResults> infoRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Rpc::Wire::Host::ReportUsageParams,  ::Rpc::Wire::Host::ReportUsageResults> reportUsageRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -3136,6 +3172,10 @@
   typedef  ::Rpc::Wire::Host::InfoResults InfoResults;
   typedef ::capnp::CallContext<InfoParams, InfoResults> InfoContext;
   virtual ::kj::Promise<void> info(InfoContext context);
+  typedef  ::Rpc::Wire::Host::ReportUsageParams ReportUsageParams;
+  typedef  ::Rpc::Wire::Host::ReportUsageResults ReportUsageResults;
+  typedef ::capnp::CallContext<ReportUsageParams, ReportUsageResults> ReportUsageContext;
+  virtual ::kj::Promise<void> reportUsage(ReportUsageContext context);
 
   inline  ::Rpc::Wire::Host::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4654,6 +4694,159 @@
 };
 #endif  // !CAPNP_LITE
 
+class Host::ReportUsageParams::Reader {
+public:
+  typedef ReportUsageParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBatches() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getBatches() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Host::ReportUsageParams::Builder {
+public:
+  typedef ReportUsageParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBatches();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getBatches();
+  inline void setBatches( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setBatches(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initBatches(unsigned int size);
+  inline void adoptBatches(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownBatches();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Host::ReportUsageParams::Pipeline {
+public:
+  typedef ReportUsageParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Host::ReportUsageResults::Reader {
+public:
+  typedef ReportUsageResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Host::ReportUsageResults::Builder {
+public:
+  typedef ReportUsageResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Host::ReportUsageResults::Pipeline {
+public:
+  typedef ReportUsageResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool ViewServer::Reader::hasServer() const {
@@ -7993,6 +8186,44 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Host::ReportUsageParams::Reader::hasBatches() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Host::ReportUsageParams::Builder::hasBatches() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Host::ReportUsageParams::Reader::getBatches() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Host::ReportUsageParams::Builder::getBatches() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Host::ReportUsageParams::Builder::setBatches( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Host::ReportUsageParams::Builder::setBatches(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Host::ReportUsageParams::Builder::initBatches(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Host::ReportUsageParams::Builder::adoptBatches(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Host::ReportUsageParams::Builder::disownBatches() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Services/Daemon/Daemon.cpp
+++ b/Services/Daemon/Daemon.cpp
@@ -194,6 +194,8 @@
     proxy_ = std::make_unique<Proxy::Server>(
         proxySettings(settings_), Proxy::Collaborators { views_, *dispatch_, *orders_, *observer_, *agent_ });
     agent_->start([this] { return proxy_->slotsInFlight(); });
+    if (usage_)
+        usageReporter_ = std::make_unique<UsageReporter>(settings_, loop_, connections_, *usage_);
     auto const started = proxy_->start();
     if (started.isError())
         return StartError(ListenerFailed { started.error().endpoint });
@@ -203,7 +205,7 @@
 Core::Result<Core::Void, StartError> Daemon::openListeners()
 {
     auto service
-        = kj::heap<RpcService>(settings_, loop_, *events_, RpcService::Roles { control_.get(), dispatch_.get() });
+        = kj::heap<RpcService>(settings_, loop_, *events_, RpcService::Roles { control_.get(), dispatch_.get(), usage_.get() });
     auto rpc = Rpc::Listener::open(loop_, settings_.listen.rpc, kj::mv(service));
     if (rpc.isError())
         return StartError(ListenerFailed { rpc.error().endpoint });
--- a/Services/Daemon/Daemon.h
+++ b/Services/Daemon/Daemon.h
@@ -6,6 +6,7 @@
 #include "OperatorAdapter.h"
 #include "RemoteOrderGate.h"
 #include "TelemetryObserver.h"
+#include "UsageReporter.h"
 
 #include <LibOperator/OperatorServer.h>
 #include <LibRpc/Listener.h>
@@ -82,6 +83,7 @@
     std::unique_ptr<RemoteOrderGate> orders_;
     std::unique_ptr<TelemetryObserver> observer_;
     std::unique_ptr<Proxy::Server> proxy_;
+    std::unique_ptr<UsageReporter> usageReporter_;
 
     std::unique_ptr<Rpc::Listener> rpc_;
     std::unique_ptr<OperatorAdapter> operatorAdapter_;
--- a/Services/Daemon/RpcService.cpp
+++ b/Services/Daemon/RpcService.cpp
@@ -196,6 +196,28 @@
     return kj::READY_NOW;
 }
 
+kj::Promise<void> RpcService::reportUsage(ReportUsageContext context)
+{
+    if (!roles_.control || !roles_.usage)
+        return KJ_EXCEPTION(UNIMPLEMENTED, "no usage is stored here");
+    std::vector<Telemetry::UsageBatch> batches;
+    for (auto const line : context.getParams().getBatches()) {
+        auto batch = Telemetry::parseUsageBatch({ line.cStr(), line.size() });
+        if (!batch)
+            refuseMessage();
+        batches.push_back(std::move(*batch));
+    }
+    auto paf = kj::newPromiseAndCrossThreadFulfiller<void>();
+    auto fulfiller = std::make_shared<kj::Own<kj::CrossThreadPromiseFulfiller<void>>>(kj::mv(paf.fulfiller));
+    background_.enqueue([usage = roles_.usage, batches = std::move(batches), fulfiller] {
+        if (usage->addReported(batches).isError())
+            (*fulfiller)->reject(KJ_EXCEPTION(FAILED, "the usage records cannot be written"));
+        else
+            (*fulfiller)->fulfill();
+    });
+    return kj::mv(paf.promise);
+}
+
 kj::Promise<void> RpcService::info(InfoContext context)
 {
     auto results = context.getResults();
--- a/Services/Daemon/RpcService.h
+++ b/Services/Daemon/RpcService.h
@@ -4,6 +4,9 @@
 #include "DispatchTable.h"
 
 #include <LibRpc/Rpc.capnp.h>
+#include <LibTelemetry/UsageAccount.h>
+
+#include <oneapi/tbb/task_arena.h>
 
 namespace Daemon {
 
@@ -16,6 +19,8 @@
         ControlNode* control { nullptr };
         /// Null without the entry role.
         DispatchTable* dispatch { nullptr };
+        /// Null without a data directory.
+        Telemetry::UsageAccount* usage { nullptr };
     };
 
     RpcService(Config::DaemonSettings const& settings, Rpc::EventLoop& loop, Telemetry::EventLog& events, Roles roles)
@@ -35,6 +40,7 @@
     kj::Promise<void> release(ReleaseContext) override;
     kj::Promise<void> registerHeld(RegisterHeldContext) override;
     kj::Promise<void> info(InfoContext) override;
+    kj::Promise<void> reportUsage(ReportUsageContext) override;
 
 private:
     struct PendingAcquire {
@@ -50,6 +56,8 @@
     Rpc::EventLoop& loop_;
     Telemetry::EventLog& events_;
     Roles roles_;
+    /// Stores reported usage, since an fsync on the loop's thread would hold up heartbeats.
+    tbb::task_arena background_ { 1, 0 };
     std::uint64_t nextAcquire_ { 1 };
     std::unordered_map<std::uint64_t, PendingAcquire> acquires_;
 };
--- a/Services/Daemon/ViewStore.h
+++ b/Services/Daemon/ViewStore.h
@@ -11,10 +11,7 @@
 class ViewStore final : public Proxy::ViewSource {
 public:
     /// Work is not sent when less than `guardTime` is left of the lease.
-    explicit ViewStore(Core::Duration guardTime)
-        : guardTime_(guardTime)
-    {
-    }
+    explicit ViewStore(Core::Duration guardTime);
 
     std::shared_ptr<Routing::View const> currentView() const override;
     bool hasValidLease() const override;
@@ -27,6 +24,8 @@
 
 private:
     Core::Duration guardTime_;
+    /// Identifies this store and the published view, so that a thread can tell whether its copy is current.
+    std::atomic<std::uint64_t> generation_;
     mutable std::mutex mutex_;
     std::shared_ptr<Routing::View const> view_;
     std::atomic<Core::Duration::rep> leaseUntil_ { 0 };
