--- a/Libraries/LibConsensus/Actions.h
+++ b/Libraries/LibConsensus/Actions.h
@@ -105,7 +105,8 @@
 struct Actions {
     std::vector<PersistRequest> persist;
     std::vector<Message> messages;
-    /// The application state is to be replaced by this snapshot before `committed` is applied.
+    /// The application state is to be replaced by this snapshot before `committed` is applied. Set when the leader sent
+    /// a snapshot, and in the first step when the recovered state has one.
     std::optional<Snapshot> restore;
     /// To be applied in this order. Indexes are contiguous over all steps, starting after the snapshot.
     std::vector<LogEntry> committed;
@@ -117,7 +118,8 @@
     /// Set when the configuration in effect changed. Connections follow it.
     std::optional<Configuration> configuration;
     std::vector<RefusedMessage> refused;
-    /// Enough entries were committed since the last snapshot. Repeated until a `SnapshotTaken` arrives.
+    /// Enough entries were committed since the last snapshot. Repeated until a `SnapshotTaken` arrives, but not set in
+    /// the step that handles one.
     bool isSnapshotDue { false };
     /// When the next `Tick` is due, unless another event comes first.
     Core::TimePoint wakeAt;
--- a/Libraries/LibConsensus/Machine.cpp
+++ b/Libraries/LibConsensus/Machine.cpp
@@ -48,6 +48,10 @@
 Actions Node::Machine::step(Core::TimePoint now, Event event)
 {
     actions_ = {};
+    if (isFirstStep_)
+        actions_.restore = snapshot_;
+    isFirstStep_ = false;
+    auto const isSnapshotTaken = std::holds_alternative<SnapshotTaken>(event);
     auto const before = std::tuple(role_, term_, leader_);
     now_ = std::max(now_, now);
     if (role_ != Role::Halted)
@@ -58,8 +62,8 @@
 
     if (before != std::tuple(role_, term_, leader_))
         actions_.roleChange = RoleChange { role_, term_, leader_ };
-    actions_.isSnapshotDue
-        = role_ != Role::Halted && commitIndex_.value >= lastSnapshotIndex().value + snapshotThreshold_;
+    actions_.isSnapshotDue = role_ != Role::Halted && !isSnapshotTaken
+        && commitIndex_.value >= lastSnapshotIndex().value + snapshotThreshold_;
     actions_.wakeAt = electionDeadline_;
     if (role_ == Role::Leader) {
         auto const contact = quorumValue(now_, [](Progress const& peer) { return peer.contactAt(); });
--- a/Libraries/LibConsensus/Machine.h
+++ b/Libraries/LibConsensus/Machine.h
@@ -133,6 +133,7 @@
     Core::TimePoint now_;
     /// Collects the result of the current step.
     Actions actions_;
+    bool isFirstStep_ { true };
 
     Role role_ { Role::Follower };
     Term term_;
--- a/Tests/LibConsensus/Simulation.cpp
+++ b/Tests/LibConsensus/Simulation.cpp
@@ -104,8 +104,9 @@
     checkRecovered(name, host, opened.value().state);
     auto& [store, state, report] = opened.value();
     host.store = std::move(store);
-    host.tokens = state.snapshot ? tokensOf(*state.snapshot->data) : std::vector<std::uint64_t> {};
-    host.appliedIndex = state.snapshot ? state.snapshot->metadata.index.value : 0;
+    // The first step gives the recovered snapshot back.
+    host.tokens.clear();
+    host.appliedIndex = 0;
     auto settings = options_.settings;
     settings.host = { name };
     host.node = std::make_unique<Node>(settings, std::move(state), random_.next(), localTime(name));
