--- a/Tests/LibConsensus/TestCodec.cpp
+++ b/Tests/LibConsensus/TestCodec.cpp
@@ -46,6 +46,7 @@
         TimeoutNow {},
     };
     std::vector<Message> all;
+    all.reserve(bodies.size());
     for (auto const& body : bodies)
         all.push_back({ { "cluster" }, { "a" }, { "b" }, { ~0ULL }, body });
     return all;
