--- a/Libraries/LibControl/Leader.h
+++ b/Libraries/LibControl/Leader.h
@@ -104,7 +104,8 @@
     std::vector<SlotWork> work;
 };
 struct Tick { };
-/// Commands were applied to the state.
+/// Commands were applied to the state. Sent once for a batch: after a loss of many servers, planning anew after each
+/// command would take most of the time.
 struct StateApplied { };
 using Event = std::variant<BecameLeader, LostLeadership, QuorumContact, Heartbeat, Tick, StateApplied>;
 
--- a/Tests/LibControl/TestLeader.cpp
+++ b/Tests/LibControl/TestLeader.cpp
@@ -58,6 +58,7 @@
     {
         for (auto const end = now + duration; now < end;) {
             std::vector<Announcement> announcements;
+            announcements.reserve(servers.size());
             for (auto const& server : servers)
                 announcements.push_back({ .server = server });
             heartbeat(announcements);
--- a/Utilities/ControlBench/Cost.cpp
+++ b/Utilities/ControlBench/Cost.cpp
@@ -78,12 +78,15 @@
 
         void step(Event const& event)
         {
+            auto hasApplied = false;
             for (auto& action : leader.step(now, event)) {
                 if (auto* proposal = std::get_if<Propose>(&action)) {
                     apply(proposal->command);
-                    step(StateApplied {});
+                    hasApplied = true;
                 }
             }
+            if (hasApplied)
+                step(StateApplied {});
         }
 
         Heartbeat heartbeat(std::uint32_t index)
@@ -148,12 +151,11 @@
             return timed(99, [&] { rig.step(heartbeat); });
         }();
         auto const tickTime = timed(99, [&] {
-            rig.now += 50ms;
+            rig.now += 5ms;
             rig.step(QuorumContact { rig.now });
             rig.step(Tick {});
         });
         auto const balanceTime = timed(9, [&] {
-            rig.now += 300ms;
             rig.round();
             rig.now += 1s;
             rig.step(QuorumContact { rig.now });
