--- a/Libraries/LibControl/Leader.h
+++ b/Libraries/LibControl/Leader.h
@@ -104,7 +104,8 @@
     std::vector<SlotWork> work;
 };
 struct Tick { };
-/// Commands were applied to the state.
+/// Commands were applied to the state. Sent once for a batch: after a loss of many servers, planning anew after each
+/// command would take most of the time.
 struct StateApplied { };
 using Event = std::variant<BecameLeader, LostLeadership, QuorumContact, Heartbeat, Tick, StateApplied>;
 
@@ -127,6 +128,8 @@
     Core::HostName host;
     Core::Incarnation incarnation;
     std::uint64_t sequence { 0 };
+    /// False: this host may have been replaced as the leader. The entry host should try another control host.
+    bool hasQuorum { false };
     /// Counted from the moment the heartbeat was sent. Zero: no lease.
     Core::Duration viewLease { 0 };
     /// Null when the entry host has the current view.
--- a/Utilities/ControlBench/Cost.cpp
+++ b/Utilities/ControlBench/Cost.cpp
@@ -78,12 +78,15 @@
 
         void step(Event const& event)
         {
+            auto hasApplied = false;
             for (auto& action : leader.step(now, event)) {
                 if (auto* proposal = std::get_if<Propose>(&action)) {
                     apply(proposal->command);
-                    step(StateApplied {});
+                    hasApplied = true;
                 }
             }
+            if (hasApplied)
+                step(StateApplied {});
         }
 
         Heartbeat heartbeat(std::uint32_t index)
@@ -148,12 +151,11 @@
             return timed(99, [&] { rig.step(heartbeat); });
         }();
         auto const tickTime = timed(99, [&] {
-            rig.now += 50ms;
+            rig.now += 5ms;
             rig.step(QuorumContact { rig.now });
             rig.step(Tick {});
         });
         auto const balanceTime = timed(9, [&] {
-            rig.now += 300ms;
             rig.round();
             rig.now += 1s;
             rig.step(QuorumContact { rig.now });
@@ -164,6 +166,7 @@
             sizes.servers, sizes.slots, sizes.hosts, view, viewBytes(rig.state.buildView()) / 1024, snapshotTime,
             restoreTime, snapshot.size() / 1024, encodeTime / static_cast<double>(assign.slots.size()) * 1'000,
             encoded.size() / assign.slots.size(), heartbeatTime, tickTime, balanceTime, interval * 100 / 300'000);
+        std::fflush(stdout);
     }
 
     void printOrders()
