Bound copies of a crashing request, hand limits over, prove capacity for longer

Cause: four copies of a crashing request sent at once took down four servers of an any-server pool; a new dispatcher started all servers cold; six answers per step raised the limit of cold servers too early; saved credit let retries exceed 10 % over short times. Change: FingerprintGate lets two copies run until one is answered, and a suspect runs only when no copy is in flight; permits carry the limit, and RegisterLimit gives it to a new dispatcher; 64 answers per step, doubled by a shed request; retry ratio 0.095 with 5 saved attempts. A step now takes longer: with 100 ms service a server of four slots needs about 12 s to all its slots.

--- a/Libraries/LibPolicy/DispatchEvents.h
+++ b/Libraries/LibPolicy/DispatchEvents.h
@@ -59,6 +59,16 @@
     Core::RouteName route;
     Core::Digest fingerprint;
 };
+/// The limit that the last permit of this server carried, as an entry host remembers it. Lets a new dispatcher continue
+/// with the demonstrated capacity instead of a cold start. Of several reports the youngest counts; one about another
+/// incarnation of the server is ignored. Expected after `ServerPresent` and before `Start`.
+struct RegisterLimit {
+    Core::ServerName server;
+    Core::Incarnation incarnation;
+    std::uint32_t limit { 0 };
+    /// Time since the permit was granted.
+    Core::Duration age { 0 };
+};
 /// All live entry hosts have acknowledged the view that appointed this dispatcher and registered the permits they hold.
 /// Nothing is granted before; acquires wait in the queue meanwhile.
 struct Start { };
@@ -83,8 +93,9 @@
     Core::ServerName server;
 };
 
-using Event = std::variant<Acquire, Release, Cancel, ServerPresent, ServerRemoved, ServerCold, LoadReport, Tick,
-    HolderLost, RegisterHeld, Start, Stop, LeaseExtended, QuarantineAdded, QuarantineLifted, SuspicionAdded>;
+using Event
+    = std::variant<Acquire, Release, Cancel, ServerPresent, ServerRemoved, ServerCold, LoadReport, Tick, HolderLost,
+        RegisterHeld, RegisterLimit, Start, Stop, LeaseExtended, QuarantineAdded, QuarantineLifted, SuspicionAdded>;
 
 struct Granted {
     TicketId ticket;
--- a/Libraries/LibPolicy/DispatchOutcomes.cpp
+++ b/Libraries/LibPolicy/DispatchOutcomes.cpp
@@ -38,6 +38,8 @@
     }
     auto const permit = takePermit(found);
     auto& server = servers_[permit.server];
+    if (isGated(permit.fingerprint))
+        gate_.onReleased(permit.fingerprint, event.report.outcome == AttemptOutcome::Answered);
     learn(server, permit, event.report, server.inFlight + 1);
     judge(permit.server, permit, event.report);
     refresh(permit.server);
@@ -140,7 +142,7 @@
     if (!server.ejected)
         eject(index, true);
     actions_->emplace_back(CrashSuspected { permit.fingerprint, server.name });
-    if (decisions_.stopCrashingRequests)
+    if (decisions_.stopCrashingRequests && permit.fingerprint != Core::Digest {})
         ledger_.recordCrash(now_, permit.fingerprint, server.name);
 }
 
@@ -217,6 +219,8 @@
 {
     while (!expiringPermits_.empty() && expiringPermits_.begin()->first <= now_) {
         auto const permit = takePermit(permits_.find(expiringPermits_.begin()->second));
+        if (isGated(permit.fingerprint))
+            gate_.onReleased(permit.fingerprint, false);
         ++counters_.expiredPermits;
         refresh(permit.server);
         dropIfUnused(permit.server);
--- a/Libraries/LibPolicy/DispatchRequests.cpp
+++ b/Libraries/LibPolicy/DispatchRequests.cpp
@@ -7,7 +7,7 @@
 
 namespace {
     // Suspects run one after the other; a longer queue of them would only time out.
-    constexpr std::size_t maxSuspects = 64;
+    constexpr std::size_t maxSuspects = 256;
     // Shortest pause that a refusal asks for.
     constexpr Core::Duration minRetryAfter = std::chrono::milliseconds(20);
     // Assumed time of a request before the first one was answered.
@@ -38,7 +38,7 @@
         refuse(event.ticket, RefusalReason::RetryBudgetExhausted);
         return;
     }
-    if (isSuspect(request)) {
+    if (isSuspect(request) || mustWaitForTwin(request)) {
         enqueueSuspect(event.ticket, request, owner);
         return;
     }
@@ -73,6 +73,18 @@
     return decisions_.stopCrashingRequests && !ledger_.isEmpty() && ledger_.isSuspect(now_, request.fingerprint);
 }
 
+bool DispatchGroup::State::isGated(Core::Digest const& fingerprint) const
+{
+    return decisions_.stopCrashingRequests && settings_.kind == Routing::PoolKind::AnyServer
+        && fingerprint != Core::Digest {};
+}
+
+/// Equal requests sent at the same time could each crash a server before the first crash is known.
+bool DispatchGroup::State::mustWaitForTwin(AcquireRequest const& request) const
+{
+    return isGated(request.fingerprint) && !gate_.mayRun(request.fingerprint);
+}
+
 std::size_t DispatchGroup::State::resolveOwner(AcquireRequest const& request) const
 {
     if (!request.owner)
@@ -164,12 +176,14 @@
     auto const route = indexOfRoute(request.route);
     permits_.emplace(id,
         HeldPermit { index, indexOfHolder(request.holder), route, request.fingerprint, request.kind, now_, isolated });
+    if (isGated(request.fingerprint))
+        gate_.onGranted(request.fingerprint);
     if (server.inFlight++ == 0)
         server.lastProgress = now_;
     ++counters_.granted;
     counters_.retries += request.kind == AttemptKind::Retry ? 1 : 0;
     counters_.hedges += request.kind == AttemptKind::Hedge ? 1 : 0;
-    Permit permit { id, server.name, std::nullopt };
+    Permit permit { id, server.name, std::nullopt, server.limit->current() };
     if (request.kind == AttemptKind::First) {
         decisions_.budget->onFirstAttempt();
         if (!request.owner && !isolated && request.requestClass == Routing::RequestClass::Idempotent
@@ -303,8 +317,8 @@
         refuseWaiting(ticket, RefusalReason::Quarantined);
         return;
     }
-    if (isSuspect(request)) {
-        // It became a suspect while it waited.
+    if (isSuspect(request) || mustWaitForTwin(request)) {
+        // It became a suspect, or a twin was granted, while it waited.
         auto& waiting = waiting_.at(ticket);
         waiting.isolated = true;
         suspects_.push_back(ticket);
@@ -336,6 +350,17 @@
 {
     auto const& waiting = waiting_.at(ticket);
     auto target = waiting.owner;
+    if (!isSuspect(waiting.request)) {
+        if (mustWaitForTwin(waiting.request))
+            return false;
+        auto const free = target == none ? chooseServer(waiting.request, false) : target;
+        if (free == none || !isAvailable(servers_[free]))
+            return false;
+        grant(ticket, waiting.request, free, false);
+        return true;
+    }
+    if (isGated(waiting.request.fingerprint) && gate_.isRunning(waiting.request.fingerprint))
+        return false;
     if (target == none)
         target = suspectServer_;
     if (target == none) {
--- a/Libraries/LibPolicy/DispatchServers.cpp
+++ b/Libraries/LibPolicy/DispatchServers.cpp
@@ -22,6 +22,7 @@
     , decisions_(std::move(decisions))
     , random_(seed)
     , ledger_(settings.quarantine)
+    , gate_(settings.quarantine.serversToQuarantine)
     , sharedQueue_(decisions_.makeQueue())
 {
 }
@@ -52,6 +53,8 @@
         server.ejectionsInRow = 0;
         server.ejected = false;
         server.lastProgress = now_;
+        server.registeredLimit = 0;
+        server.registeredLimitAge = Core::Duration::max();
     }
     usableServers_ += isUsable(server) && !wasUsable ? 1 : 0;
     usableServers_ -= !isUsable(server) && wasUsable ? 1 : 0;
@@ -102,7 +105,8 @@
         return;
     started_ = true;
     for (std::size_t index = 0; index < servers_.size(); ++index) {
-        servers_[index].limit->assumeDemonstrated(servers_[index].inFlight);
+        auto& server = servers_[index];
+        server.limit->assumeDemonstrated(std::max(server.inFlight, server.registeredLimit));
         refresh(index);
     }
     for (std::size_t index = 0; index < servers_.size(); ++index)
@@ -126,6 +130,8 @@
     held.grantedAt = now_;
     held.registered = true;
     permits_.emplace(event.permit.id, held);
+    if (isGated(event.fingerprint))
+        gate_.onGranted(event.fingerprint);
     if (servers_[index].inFlight++ == 0)
         servers_[index].lastProgress = now_;
     refresh(index);
@@ -150,6 +156,18 @@
         handle(Cancel { ticket });
 }
 
+void DispatchGroup::State::handle(RegisterLimit const& event)
+{
+    auto const found = serverIndex_.find(event.server);
+    if (started_ || found == serverIndex_.end())
+        return;
+    auto& server = servers_[found->second];
+    if (server.incarnation != event.incarnation || event.age >= server.registeredLimitAge)
+        return;
+    server.registeredLimit = event.limit;
+    server.registeredLimitAge = event.age;
+}
+
 bool DispatchGroup::State::isAvailable(Server const& server) const
 {
     return isUsable(server) && !server.ejected && !server.reserved && server.inFlight < server.limit->current();
--- a/Libraries/LibPolicy/DispatchSettings.h
+++ b/Libraries/LibPolicy/DispatchSettings.h
@@ -16,7 +16,7 @@
     /// Shortest time between two increases by one while a server warms up.
     Core::Duration stepInterval { std::chrono::milliseconds(500) };
     /// Answers needed at a limit before the next increase.
-    std::uint32_t answersPerStep { 6 };
+    std::uint32_t answersPerStep { 64 };
     /// Latency relative to the typical latency of the route above which a warming server is not given more.
     double maxWarmRatio { 1.5 };
     /// Latency relative to the typical latency of the route that counts towards marking a warm server cold.
@@ -37,10 +37,11 @@
 
 /// Retries and hedges share one budget.
 struct RetrySettings {
-    /// Additional attempts relative to first attempts.
-    double budgetRatio { 0.1 };
+    /// Additional attempts relative to first attempts. A little below the 10 % that are allowed, to leave room for what
+    /// was saved up.
+    double budgetRatio { 0.095 };
     /// Attempts that may be saved up. Bounds a burst of retries after a calm period.
-    double maxSavedAttempts { 20 };
+    double maxSavedAttempts { 5 };
 };
 
 struct HedgeSettings {
--- a/Libraries/LibPolicy/DispatchState.h
+++ b/Libraries/LibPolicy/DispatchState.h
@@ -3,6 +3,7 @@
 #include <LibPolicy/CrashLedger.h>
 #include <LibPolicy/Decisions.h>
 #include <LibPolicy/DispatchGroup.h>
+#include <LibPolicy/FingerprintGate.h>
 #include <LibPolicy/TypicalLatency.h>
 
 #include <map>
@@ -26,6 +27,7 @@
     void handle(Tick const&);
     void handle(HolderLost const&);
     void handle(RegisterHeld const&);
+    void handle(RegisterLimit const&);
     void handle(Start const&);
     void handle(Stop const&);
     void handle(LeaseExtended const&);
@@ -70,6 +72,8 @@
         /// Runs a suspect, or is being emptied to run one: no other work may be granted.
         bool reserved { false };
         bool runsSuspect { false };
+        std::uint32_t registeredLimit { 0 };
+        Core::Duration registeredLimitAge { Core::Duration::max() };
         /// Part of `capacity_` at present.
         std::uint32_t countedLimit { 0 };
     };
@@ -98,6 +102,8 @@
     std::optional<RefusalReason> findObjection(AcquireRequest const&);
     bool isQuarantined(AcquireRequest const&) const;
     bool isSuspect(AcquireRequest const&) const;
+    bool mustWaitForTwin(AcquireRequest const&) const;
+    bool isGated(Core::Digest const& fingerprint) const;
     std::size_t resolveOwner(AcquireRequest const&) const;
     bool grantAtOnce(TicketId, AcquireRequest const&, std::size_t owner);
     void enqueue(TicketId, AcquireRequest const&, std::size_t owner);
@@ -153,6 +159,7 @@
     Decisions decisions_;
     Core::Random random_;
     CrashLedger ledger_;
+    FingerprintGate gate_;
     Core::TimePoint now_;
     std::vector<Action>* actions_ { nullptr };
     bool started_ { false };
--- a/Libraries/LibPolicy/Permit.h
+++ b/Libraries/LibPolicy/Permit.h
@@ -47,7 +47,8 @@
     Routing::RequestClass requestClass { Routing::RequestClass::NonIdempotent };
     Core::TimePoint deadline;
     AttemptKind kind { AttemptKind::First };
-    /// Digest of route, key, idempotency key and body; ties a request to the crashes it causes.
+    /// Digest of route, key, idempotency key and body; ties a request to the crashes it causes. Zero when not known:
+    /// such a request is never suspected.
     Core::Digest fingerprint;
     /// Backend servers that earlier attempts of this request used.
     std::vector<Core::ServerName> excluded;
@@ -63,6 +64,9 @@
     /// When set, the holder may acquire a second permit of kind `Hedge` for this request once it has waited this long
     /// for the answer. Set only for idempotent work of any-server pools.
     std::optional<Core::Duration> hedgeAfter;
+    /// Limit of the server when the permit was granted. Entry hosts remember the last one of each server and report it
+    /// to a new dispatcher with `RegisterLimit`.
+    std::uint32_t limit { 0 };
 };
 
 enum class RefusalReason : std::uint8_t {
--- a/Libraries/LibPolicy/SlowStartLimit.cpp
+++ b/Libraries/LibPolicy/SlowStartLimit.cpp
@@ -17,6 +17,7 @@
     constexpr std::uint32_t probationWindow = 4;
     // Mean ratio of the earlier window that counts as slow.
     constexpr double clearlySlow = 2.4;
+    constexpr std::uint32_t maxAnswersPerStep = 1024;
     constexpr Core::Duration maxStepInterval = std::chrono::seconds(30);
 } // namespace
 
@@ -24,6 +25,7 @@
     : settings_(settings)
     , limit_(std::max(settings.coldLimit, 1U))
     , stepInterval_(settings.stepInterval)
+    , answersPerStep_(settings.answersPerStep)
 {
 }
 
@@ -103,7 +105,7 @@
     ++answers_;
     ratioSum_ += sample.ratio;
     limitReached_ = limitReached_ || sample.inFlight >= limit_;
-    if (answers_ >= settings_.answersPerStep && limitReached_ && sample.now - lastStep_ >= stepInterval_)
+    if (answers_ >= answersPerStep_ && limitReached_ && sample.now - lastStep_ >= stepInterval_)
         considerStep(sample.now);
 }
 
@@ -138,8 +140,10 @@
     ++limit_;
     previousRatio_ = 0;
     plateauWindows_ = 0;
-    if (limit_ >= slots_)
-        stepInterval_ = settings_.stepInterval;
+    if (limit_ < slots_)
+        return;
+    stepInterval_ = settings_.stepInterval;
+    answersPerStep_ = settings_.answersPerStep;
 }
 
 void SlowStartLimit::onShed(AttemptSample const& sample)
@@ -147,6 +151,7 @@
     limit_ = std::max(std::min(limit_, sample.inFlight) - (limit_ > 1 && sample.inFlight > 1 ? 1U : 0U), 1U);
     formerLimit_ = 0;
     stepInterval_ = std::min(stepInterval_ * 2, maxStepInterval);
+    answersPerStep_ = std::min(answersPerStep_ * 2, maxAnswersPerStep);
     lastStep_ = sample.now;
     previousRatio_ = 0;
     beginWindow();
--- a/Libraries/LibPolicy/SlowStartLimit.h
+++ b/Libraries/LibPolicy/SlowStartLimit.h
@@ -9,7 +9,7 @@
 ///
 /// A cold server starts with one request. The limit rises by one when the server answered enough requests at the
 /// current limit, the latency is near the typical one and no longer falls, and the step interval has passed. A shed
-/// request lowers the limit and doubles the step interval of this server.
+/// request lowers the limit and doubles the time and the answers that this server needs for a step.
 ///
 /// A server that was cut back because of latency alone may be a straggler or cold. The latency of a straggler falls at
 /// once when its slow phase ends, that of a cold server falls gradually with the work it does. A sudden return to the
@@ -37,6 +37,7 @@
     std::uint32_t slots_ { 1 };
     std::uint32_t limit_ { 1 };
     Core::Duration stepInterval_;
+    std::uint32_t answersPerStep_;
     Core::TimePoint lastStep_;
     /// Answers, their latency ratios, and whether the limit was reached, since the last decision.
     std::uint32_t answers_ { 0 };
--- a/Tests/LibPolicy/TestFailures.cpp
+++ b/Tests/LibPolicy/TestFailures.cpp
@@ -234,6 +234,33 @@
     fixture.granted(again);
 }
 
+/// Guards against copies of a crashing request, sent at once, that each take down a server; and against holding back
+/// copies of a request that is known to be harmless.
+BOOST_AUTO_TEST_CASE(CopiesSentAtOnceCostNoMoreServers)
+{
+    GroupFixture fixture;
+    for (auto const* name : { "a", "b", "c", "d" })
+        fixture.addServer(name);
+    auto const bad = fixture.request();
+    auto const first = fixture.granted(bad);
+    auto const second = fixture.granted(bad);
+    BOOST_TEST(fixture.acquire(bad).empty());
+    BOOST_TEST(GroupFixture::only<Granted>(crash(fixture, first)).empty());
+    auto const refusals = GroupFixture::only<Refused>(crash(fixture, second));
+    BOOST_REQUIRE_EQUAL(refusals.size(), 1);
+    BOOST_TEST((refusals[0].refusal.reason == RefusalReason::Quarantined));
+
+    GroupFixture other;
+    for (auto const* name : { "a", "b", "c", "d" })
+        other.addServer(name);
+    auto const good = other.request();
+    auto const answered = other.granted(good);
+    other.granted(good);
+    BOOST_TEST(other.acquire(good).empty());
+    BOOST_TEST(GroupFixture::only<Granted>(other.release(answered)).size() == 1);
+    other.granted(good);
+}
+
 /// Guards against a reserved server that stays unused after its suspect gave up.
 BOOST_AUTO_TEST_CASE(ReservationEndsWithItsSuspect)
 {
--- a/Tests/LibPolicy/TestLimits.cpp
+++ b/Tests/LibPolicy/TestLimits.cpp
@@ -15,7 +15,7 @@
 
 SlowStartLimit limitFor(std::uint32_t slots)
 {
-    SlowStartLimit limit(LimitSettings {});
+    SlowStartLimit limit({ .answersPerStep = 6 });
     limit.setSlots(slots);
     limit.markCold(Core::TimePoint { 1h });
     return limit;
--- a/Tests/LibPolicy/TestPermits.cpp
+++ b/Tests/LibPolicy/TestPermits.cpp
@@ -138,6 +138,22 @@
     BOOST_TEST(fixture.status("a").limit == 3);
 }
 
+/// Guards against a cold start of all servers at each change of dispatcher, and against a limit that a restarted server
+/// no longer bears.
+BOOST_AUTO_TEST_CASE(LimitsAreHandedOver)
+{
+    GroupFixture fixture({}, false);
+    fixture.addServer("a", 4);
+    fixture.addServer("b", 4, 2);
+    fixture.send(RegisterLimit { { "a" }, { 1 }, 3, 10ms });
+    fixture.send(RegisterLimit { { "a" }, { 1 }, 4, 1s });
+    fixture.send(RegisterLimit { { "b" }, { 1 }, 4, 10ms });
+    fixture.send(Start {});
+    BOOST_TEST(fixture.status("a").limit == 3);
+    BOOST_TEST(fixture.status("b").limit == 1);
+    BOOST_TEST(fixture.granted(fixture.ownedBy("a")).limit == 3);
+}
+
 /// Guards against a dispatcher that goes on granting after it was replaced or lost its lease.
 BOOST_AUTO_TEST_CASE(ReplacedDispatcherGrantsNothing)
 {
--- a/Utilities/PolicyBench/BaselineLimits.cpp
+++ b/Utilities/PolicyBench/BaselineLimits.cpp
@@ -35,6 +35,12 @@
         limit.setSlots(slots);
 }
 
+void QuotaAllocator::assumeWarm(std::uint32_t slots)
+{
+    for (auto& limit : limits_)
+        limit.assumeDemonstrated(slots);
+}
+
 void QuotaAllocator::allocate()
 {
     ++rounds_;
--- a/Utilities/PolicyBench/BaselineLimits.h
+++ b/Utilities/PolicyBench/BaselineLimits.h
@@ -17,7 +17,7 @@
     void setSlots(std::uint32_t slots) override { slots_ = slots; }
     void markCold(Core::TimePoint) override { limit_ = 1; }
     void beginProbation(Core::TimePoint) override { }
-    void assumeDemonstrated(std::uint32_t) override { }
+    void assumeDemonstrated(std::uint32_t limit) override { limit_ = std::max(limit, 1U); }
     bool observe(Policy::AttemptSample const&) override;
 
 private:
@@ -37,6 +37,7 @@
     void noteInFlight(std::size_t host, std::size_t server, int change) { cell(host, server).inFlight += change; }
     void noteSample(std::size_t server, Policy::AttemptSample const& sample) { limits_[server].observe(sample); }
     void markCold(std::size_t server, Core::TimePoint now) { limits_[server].markCold(now); }
+    void assumeWarm(std::uint32_t slots);
     /// Gives the server's limit to the hosts with the most demand. What a host still has in flight stays counted.
     void allocate();
     /// The quota of a lost host stays with it until its lease has ended.
--- a/Utilities/PolicyBench/Fleet.cpp
+++ b/Utilities/PolicyBench/Fleet.cpp
@@ -144,6 +144,7 @@
         return;
     }
     auto const id = granted.permit.id.value;
+    knownLimits_[attempt.server] = { backends[attempt.server]->incarnation(), granted.permit.limit, now() };
     request.live.emplace(id, attempt);
     ++request.attemptsMade;
     request.tried.push_back(granted.permit.server);
--- a/Utilities/PolicyBench/Fleet.h
+++ b/Utilities/PolicyBench/Fleet.h
@@ -138,6 +138,13 @@
     FleetSettings settings_;
     Core::Random random_;
     std::vector<bool> hostAlive_;
+    /// What the entry hosts remember of the last permit of each server.
+    struct KnownLimit {
+        std::uint64_t incarnation { 0 };
+        std::uint32_t limit { 0 };
+        Core::TimePoint at;
+    };
+    std::vector<KnownLimit> knownLimits_;
     std::vector<Dispatcher> dispatchers_;
     std::unordered_map<std::string, std::size_t> serverIndex_;
     std::vector<Request> requests_;
--- a/Utilities/PolicyBench/FleetDispatch.cpp
+++ b/Utilities/PolicyBench/FleetDispatch.cpp
@@ -21,6 +21,7 @@
     : settings_(settings)
     , random_(settings.seed)
     , hostAlive_(settings.site.entryHosts, true)
+    , knownLimits_(settings.site.servers)
 {
     auto const& site = settings_.site;
     settings_.dispatch.kind = site.kind;
@@ -41,11 +42,17 @@
     }
     if (settings_.enforcement == Enforcement::Quota) {
         quotas_ = std::make_unique<QuotaAllocator>(site.entryHosts, site.servers, site.backend.slots);
+        if (settings_.startWarm)
+            quotas_->assumeWarm(site.backend.slots);
         reallocate();
     }
     auto const count = settings_.enforcement == Enforcement::Permits ? 1 : site.entryHosts;
     for (std::size_t host = 0; host < count; ++host) {
         auto const dispatcher = addDispatcher(host);
+        if (settings_.startWarm) {
+            for (auto const& backend : backends)
+                step(dispatcher, Policy::RegisterLimit { { backend->name() }, { 1 }, site.backend.slots });
+        }
         step(dispatcher, Policy::Start {});
     }
 }
@@ -182,6 +189,12 @@
             attempt.dispatcher = dispatcher;
         }
     }
+    for (std::size_t server = 0; server < backends.size(); ++server) {
+        auto const& known = knownLimits_[server];
+        step(dispatcher,
+            Policy::RegisterLimit {
+                { backends[server]->name() }, { known.incarnation }, known.limit, now() - known.at });
+    }
     step(dispatcher, Policy::Start {});
     std::vector<Ticket> unanswered;
     for (auto const& [ticket, content] : tickets_)
--- a/Utilities/PolicyBench/ScenarioLimits.cpp
+++ b/Utilities/PolicyBench/ScenarioLimits.cpp
@@ -76,7 +76,7 @@
         for (auto const enforcement : allEnforcements) {
             auto const fleet = warmFleet({ .site = site, .enforcement = enforcement, .load = 0.6, .seed = seed });
             fleet->killHost(0);
-            auto const time = 8s;
+            auto const time = site.servers >= 50 ? 4s : 8s;
             fleet->run(time);
             auto const rate = 0.6 * site.capacity();
             auto const intervals = static_cast<std::size_t>(time / 100ms);
--- a/Utilities/PolicyBench/ScenarioServers.cpp
+++ b/Utilities/PolicyBench/ScenarioServers.cpp
@@ -174,7 +174,7 @@
     for (auto const& site : sites) {
         for (auto const& variant : stragglerVariants()) {
             FleetSettings const settings { .site = site, .decisions = variant.decisions, .load = 0.5, .seed = seed };
-            auto const time = site.servers >= 50 ? Core::Duration(6s) : Core::Duration(60s);
+            auto const time = site.servers >= 50 ? Core::Duration(5s) : Core::Duration(60s);
             auto const calm = warmFleet(settings);
             calm->run(time);
             auto const slowed = warmFleet(settings);
--- a/Utilities/PolicyBench/Scenarios.cpp
+++ b/Utilities/PolicyBench/Scenarios.cpp
@@ -30,12 +30,12 @@
 std::unique_ptr<Fleet> warmFleet(FleetSettings const& settings)
 {
     auto fleet = std::make_unique<Fleet>(settings);
-    fleet->run(settings.site.servers >= largeSite ? 5s : 10s);
+    fleet->run(settings.site.servers >= largeSite ? 3s : 5s);
     fleet->resetResults();
     return fleet;
 }
 
-Core::Duration measuredTime(Site const& site) { return site.servers >= largeSite ? 4s : 20s; }
+Core::Duration measuredTime(Site const& site) { return site.servers >= largeSite ? 3s : 20s; }
 
 double goodput(Fleet const& fleet)
 {
