Check idle connections outside the lock of their shard

A thread that is descheduled in the system call under the lock makes the others wait, so the check now happens after the lock is released.

--- a/Libraries/LibProxy/ServerConnections.cpp
+++ b/Libraries/LibProxy/ServerConnections.cpp
@@ -48,11 +48,17 @@
 
 Core::Result<ServerConnection, OpenError> ServerConnections::open(Request const& request)
 {
-    auto reserved = reserve(request);
-    if (reserved.isError())
-        return OpenError { reserved.error() };
-    if (reserved.value())
-        return ServerConnection(*this, request.server.name, std::move(*reserved.value()), true);
+    while (true) {
+        auto reserved = reserve(request);
+        if (reserved.isError())
+            return OpenError { reserved.error() };
+        if (!reserved.value())
+            break;
+        // Checked outside the lock: a system call inside it makes all threads wait when its thread is descheduled.
+        ServerConnection connection(*this, request.server.name, std::move(*reserved.value()), true);
+        if (isUsable(connection.socket()))
+            return connection;
+    }
     auto connected = connectTo(request.server.endpoint, request.deadline, request.watched);
     if (connected.isError()) {
         stopCounting(request.server.name);
@@ -81,7 +87,7 @@
         auto candidate = std::move(state.idle.back());
         state.idle.pop_back();
         auto const age = now - candidate.answeredAt;
-        if (age > idleTimeout_ || !isUsable(candidate.socket)) {
+        if (age > idleTimeout_) {
             dropped.push_back(std::move(candidate));
             continue;
         }
@@ -143,10 +149,10 @@
     for (auto& shard : shards_) {
         std::scoped_lock const lock(shard.mutex);
         for (auto& [name, state] : shard.servers) {
-            auto const expired = std::ranges::partition(
-                state.idle, [&](auto const& connection) { return now - connection.answeredAt <= idleTimeout_; });
-            std::ranges::move(expired, std::back_inserter(dropped));
-            state.idle.erase(expired.begin(), expired.end());
+            auto const expired = std::partition(state.idle.begin(), state.idle.end(),
+                [&](auto const& connection) { return now - connection.answeredAt <= idleTimeout_; });
+            std::move(expired, state.idle.end(), std::back_inserter(dropped));
+            state.idle.erase(expired, state.idle.end());
         }
         std::erase_if(
             shard.servers, [](auto const& entry) { return entry.second.inUse == 0 && entry.second.idle.empty(); });
--- a/Tests/LibProxy/TestConnections.cpp
+++ b/Tests/LibProxy/TestConnections.cpp
@@ -237,14 +237,16 @@
     Fixture fixture({ &backend });
     // The fake grants any number of permits, so the server's own limit must not reject a part of the burst.
     fixture.control.publish([](Routing::View& view) { view.servers[0].connections = 1000; });
+    constexpr std::size_t burst = 200;
     std::vector<std::thread> threads;
-    std::atomic<int> served { 0 };
+    threads.reserve(burst);
+    std::atomic<std::size_t> served { 0 };
     auto const begin = Core::BootClock::now();
-    for (int i = 0; i < 200; ++i)
-        threads.emplace_back([&] { served += statusOf(fixture.request(getLetter)) == "200" ? 1 : 0; });
+    for (std::size_t i = 0; i < burst; ++i)
+        threads.emplace_back([&] { served += statusOf(fixture.request(getLetter)) == "200" ? 1U : 0U; });
     for (auto& thread : threads)
         thread.join();
-    BOOST_TEST(served == 200);
+    BOOST_TEST(served == burst);
     // A full backlog of 5 drops the rest, which come back after 1 s.
     BOOST_TEST((Core::BootClock::now() - begin < 900ms));
 }
