Cache the view per thread in the measurements' control

libstdc++'s std::atomic<std::shared_ptr> spins on a lock bit. Any ViewSource for traffic threads should do the same.

--- a/Utilities/BareRelay/LocalControl.cpp
+++ b/Utilities/BareRelay/LocalControl.cpp
@@ -61,10 +61,28 @@
     }
     for (auto const& pool : table_->pools())
         groups_[pool.name.value].next = 0;
-    view_ = buildView();
+    publish(buildView());
 }
 
-std::shared_ptr<Routing::View const> LocalControl::currentView() const { return view_.load(); }
+std::shared_ptr<Routing::View const> LocalControl::currentView() const
+{
+    // One LocalControl per process, so one cache per thread is enough.
+    thread_local std::uint64_t seen = 0;
+    thread_local std::shared_ptr<Routing::View const> view;
+    if (seen != published_.load(std::memory_order_acquire)) {
+        std::scoped_lock const lock(publishedMutex_);
+        view = view_;
+        seen = published_;
+    }
+    return view;
+}
+
+void LocalControl::publish(std::shared_ptr<Routing::View const> view)
+{
+    std::scoped_lock const lock(publishedMutex_);
+    view_ = std::move(view);
+    ++published_;
+}
 
 LocalControl::Group& LocalControl::groupOf(Core::PoolName const& pool) { return groups_.at(pool.value); }
 
@@ -108,10 +126,10 @@
             .connections = announcement.connections,
             .checksFencing = announcement.checksFencing };
         ++version_;
-        view_ = buildView();
+        publish(buildView());
     }
     Proxy::AnnounceReply reply;
-    auto const view = view_.load();
+    auto const view = currentView();
     auto const slots = view->slots.find(announcement.pool);
     for (std::uint64_t i = 0; slots != view->slots.end() && i < slots->second.size(); ++i) {
         auto const& slot = slots->second[i];
@@ -123,7 +141,7 @@
 
 Policy::AcquireResult LocalControl::acquire(Policy::AcquireRequest const& request)
 {
-    auto const view = view_.load();
+    auto const view = currentView();
     auto& group = groupOf(request.pool);
     std::unique_lock lock(group.mutex);
     auto const deadline = std::chrono::steady_clock::now()
--- a/Utilities/BareRelay/LocalControl.h
+++ b/Utilities/BareRelay/LocalControl.h
@@ -57,13 +57,18 @@
 
     Group& groupOf(Core::PoolName const&);
     std::shared_ptr<Routing::View> buildView() const;
+    void publish(std::shared_ptr<Routing::View const>);
     void setOrder(Proxy::OrderKey const&, Proxy::ClaimResult);
 
     std::shared_ptr<Routing::RoutingTable const> table_;
     mutable std::mutex viewMutex_;
     std::map<std::string, Routing::BackendServer> servers_;
     std::uint64_t version_ { 0 };
-    std::atomic<std::shared_ptr<Routing::View const>> view_;
+    /// Published views, counted; a thread copies the pointer under the lock only when the count changed. libstdc++'s
+    /// std::atomic<std::shared_ptr> spins on a lock bit, which burns whole time slices when its holder is descheduled.
+    std::atomic<std::uint64_t> published_ { 0 };
+    mutable std::mutex publishedMutex_;
+    std::shared_ptr<Routing::View const> view_;
     std::unordered_map<std::string, Group> groups_;
     std::mutex ordersMutex_;
     std::unordered_map<std::string, Order> orders_;
