Make two tests independent of the machine's speed

Under ThreadSanitizer at a load average of 90 the burst took more than 900 ms and a 256 MiB transfer exceeded the fixture's 2 s deadline. The burst test now counts retransmissions on each connection, which is what a full backlog causes. A POST without a length is forwarded with Content-Length: 0 (RFC 9110 section 8.6), and the emulator's switches no longer wait for a body.

--- a/Libraries/LibProxy/Attempt.cpp
+++ b/Libraries/LibProxy/Attempt.cpp
@@ -223,6 +223,9 @@
         appendField(text, "Transfer-Encoding", "chunked");
     else if (context_.head.contentLength)
         appendField(text, "Content-Length", std::to_string(*context_.head.contentLength));
+    else if (context_.head.method == "POST" || context_.head.method == "PUT" || context_.head.method == "PATCH")
+        // RFC 9110 section 8.6. Some servers wait for a body when these methods come without a length.
+        appendField(text, "Content-Length", "0");
     return text.append("\r\n");
 }
 
--- a/Tests/LibProxy/Fixtures.cpp
+++ b/Tests/LibProxy/Fixtures.cpp
@@ -352,7 +352,8 @@
             .pathPrefix = "/" + pool,
             .key = isLetter ? Routing::KeySource { Routing::KeyFromPathSegment { 1 } } : Routing::NoKey {},
             .requestClass = kind,
-            .deadline = 2s,
+            // Transfers of large bodies are slow under sanitizers on a busy machine.
+            .deadline = isLetter ? 2s : 60s,
             .maxBodyBytes = 256UL * 1024 * 1024 };
     }
 
--- a/Tests/LibProxy/TestConnections.cpp
+++ b/Tests/LibProxy/TestConnections.cpp
@@ -1,6 +1,9 @@
 #include "Fixtures.h"
 
 #include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 using namespace Test;
 
@@ -241,14 +244,22 @@
     std::vector<std::thread> threads;
     threads.reserve(burst);
     std::atomic<std::size_t> served { 0 };
-    auto const begin = Core::BootClock::now();
+    std::atomic<std::size_t> retransmitted { 0 };
     for (std::size_t i = 0; i < burst; ++i)
-        threads.emplace_back([&] { served += statusOf(fixture.request(getLetter)) == "200" ? 1U : 0U; });
+        threads.emplace_back([&] {
+            auto peer = fixture.connect();
+            peer.send(getLetter);
+            served += statusOf(peer.readMessage()) == "200" ? 1U : 0U;
+            tcp_info info {};
+            socklen_t length = sizeof info;
+            getsockopt(peer.socket().descriptor(), IPPROTO_TCP, TCP_INFO, &info, &length);
+            retransmitted += info.tcpi_total_retrans;
+        });
     for (auto& thread : threads)
         thread.join();
     BOOST_TEST(served == burst);
-    // A full backlog of 5 drops the rest, which come back after 1 s.
-    BOOST_TEST((Core::BootClock::now() - begin < 900ms));
+    // A full backlog drops segments of the handshake, which the caller sends again after 1 s.
+    BOOST_TEST(retransmitted == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(DrainFinishesRequestsInFlightAndRejectsNewOnes)
--- a/Tests/LibProxy/TestStreams.cpp
+++ b/Tests/LibProxy/TestStreams.cpp
@@ -57,7 +57,7 @@
     auto peer = fixture.connect();
     std::string const piece(pieceBytes, 'x');
     auto const before = residentBytes();
-    peer.send("PUT /uploads/1 HTTP/1.1\r\nHost: h\r\nPrimroseshift-Deadline-Ms: 20000\r\n" + lengthField(largeBytes));
+    peer.send("PUT /uploads/1 HTTP/1.1\r\nHost: h\r\n" + lengthField(largeBytes));
     for (std::size_t sent = 0; sent < largeBytes; sent += piece.size())
         BOOST_REQUIRE(peer.send(piece));
     BOOST_TEST(discard(peer, largeBytes) >= largeBytes);
@@ -79,6 +79,14 @@
     BOOST_TEST(bodyOf(backend.requests().at(0)) == "6\r\nabcdef\r\n0\r\n\r\n");
 }
 
+BOOST_AUTO_TEST_CASE(MissingBodyOfAPostIsDeclaredAsEmpty)
+{
+    FakeBackend backend(FakeBackend::answering("x"));
+    Fixture const fixture({ &backend });
+    BOOST_TEST(statusOf(fixture.request("POST /letters/7 HTTP/1.1\r\nHost: h\r\n\r\n")) == "200");
+    BOOST_TEST(headerOf(backend.requests().at(0), "Content-Length") == "0");
+}
+
 BOOST_AUTO_TEST_CASE(ResponseThatEndsWithItsConnectionIsComplete)
 {
     FakeBackend backend([](Peer& peer, FakeBackend& self) {
--- a/Utilities/BackendEmulator/HttpFront.cpp
+++ b/Utilities/BackendEmulator/HttpFront.cpp
@@ -245,12 +245,18 @@
     });
     server.Get("/counts",
         [&backend](auto const&, auto& response) { response.set_content(backend.countsJson(), "application/json"); });
-    server.Post("/switches", [&backend](auto const& request, auto& response) {
+    // Not a Post handler: without a Content-Length, as curl sends it, the library would read the body until it times
+    // out.
+    server.set_pre_routing_handler([&backend](auto const& request, auto& response) {
+        if (request.method != "POST" || request.path != "/switches")
+            return httplib::Server::HandlerResponse::Unhandled;
+        response.status = 200;
         for (auto const& [name, value] : request.params) {
             if (!backend.switches().set(name, value))
                 response.status = 400;
         }
         response.set_content(backend.switches().toJson(), "application/json");
+        return httplib::Server::HandlerResponse::Handled;
     });
 }
 
