--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+// NOLINTNEXTLINE(readability-identifier-naming): the namespace of the library.
 namespace prometheus {
 class Registry;
 }
--- a/Libraries/LibTelemetry/UsageStore.cpp
+++ b/Libraries/LibTelemetry/UsageStore.cpp
@@ -114,7 +114,7 @@
 
 UsageIoFailed UsageStore::failure(std::string path)
 {
-    UsageIoFailed const failed { std::move(path), errno };
+    UsageIoFailed failed { std::move(path), errno };
     closeFile();
     needsNewGeneration_ = true;
     return failed;
@@ -177,7 +177,7 @@
     openName_ = name;
     needsNewGeneration_ = false;
     compactedBytes_.try_emplace(name, 0);
-    if (auto const status = syncFolder(); status.isError()) {
+    if (auto status = syncFolder(); status.isError()) {
         needsNewGeneration_ = true;
         return status;
     }
@@ -259,9 +259,10 @@
     }
     auto const currentHour = nowMilliseconds / millisecondsPerHour * millisecondsPerHour;
     auto const isComplete = [&](UsageBatch const& batch) { return batch.wallMilliseconds < currentHour; };
-    auto const [firstOpen, end] = std::ranges::stable_partition(content.batches, isComplete);
-    std::vector<UsageBatch> const open(firstOpen, end);
-    content.batches.erase(firstOpen, end);
+    // clang-tidy 14 cannot parse the subrange that std::ranges::stable_partition returns.
+    auto const firstOpen = std::stable_partition(content.batches.begin(), content.batches.end(), isComplete);
+    std::vector<UsageBatch> const open(firstOpen, content.batches.end());
+    content.batches.erase(firstOpen, content.batches.end());
     auto const lines = formatLines(mergeWithinHours(std::move(content.batches))) + formatLines(open);
 
     if (openName_ == file)
