--- a/Tests/LibTelemetry/TestMetrics.cpp
+++ b/Tests/LibTelemetry/TestMetrics.cpp
@@ -116,7 +116,9 @@
         metrics.setInFlight({ "letter" }, server, 1, 2);
         metrics.countAttempt({ "letter" }, server, { "fd1" }, "answered", 1ms);
         auto const text = metrics.exposition();
-        BOOST_TEST(contains(text, "primroseshift_in_flight{pool=\"letter\",server=\"" + server.value + "\"} 1\n"));
+        std::string series = "primroseshift_in_flight{pool=\"letter\",server=\"";
+        series.append(server.value).append("\"} 1\n");
+        BOOST_TEST(contains(text, series));
         BOOST_TEST(countLines(text, "\nprimroseshift_attempts_total{") == 1U);
         metrics.forgetServer({ "letter" }, server);
     }
@@ -128,6 +130,7 @@
 {
     Metrics metrics;
     std::vector<std::thread> threads;
+    threads.reserve(3);
     for (int thread = 0; thread < 3; ++thread) {
         threads.emplace_back([&metrics] {
             for (int round = 0; round < 500; ++round) {
--- a/Utilities/Ctl/Command.h
+++ b/Utilities/Ctl/Command.h
@@ -32,8 +32,8 @@
 /// What a subcommand works with.
 class Context {
 public:
-    explicit Context(cxxopts::ParseResult options)
-        : options(std::move(options))
+    explicit Context(cxxopts::ParseResult const& parsed)
+        : options(parsed)
     {
     }
 
