--- a/Tests/LibControl/Simulation/Simulation.cpp
+++ b/Tests/LibControl/Simulation/Simulation.cpp
@@ -62,7 +62,7 @@
     events_.push({ now_ + delay, nextOrder_++, std::move(action) });
 }
 
-void World::every(Process& process, Duration interval, std::function<void()> action)
+void World::every(Process& process, Duration interval, std::function<void()> const& action)
 {
     auto const run = process.run;
     after(
@@ -358,7 +358,7 @@
     }
 }
 
-void World::report(std::string text)
+void World::report(std::string const& text)
 {
     constexpr std::size_t maxReports = 20;
     if (violations.size() < maxReports)
--- a/Tests/LibControl/Simulation/Simulation.h
+++ b/Tests/LibControl/Simulation/Simulation.h
@@ -137,7 +137,7 @@
 
     TimePoint local(Process const& process) const;
     void after(Duration, std::function<void()>);
-    void every(Process&, Duration, std::function<void()>);
+    void every(Process&, Duration, std::function<void()> const&);
     void send(Process& to, std::function<void()>);
     void deliver(Process& to, std::uint64_t run, std::function<void()>);
     Duration delay();
@@ -163,7 +163,7 @@
     void runOrder();
     void submitEdit();
     void checkInvariants();
-    void report(std::string);
+    void report(std::string const&);
 
     Options options_;
     Core::Random random_;
