--- a/Tests/Ctl/TestCtl.cpp
+++ b/Tests/Ctl/TestCtl.cpp
@@ -102,7 +102,7 @@
 
 BOOST_AUTO_TEST_CASE(ResponsesAreShownAsTablesAndJson)
 {
-    Cluster const cluster;
+    Cluster cluster;
     BOOST_TEST(cluster.run("status").contains("cluster letters, answered by c1"));
     BOOST_TEST(cluster.run("status --json").contains("\"cluster\":\"letters\""));
     BOOST_TEST(cluster.run("pools").contains("a     any-server"));
@@ -115,8 +115,8 @@
     auto const usage = cluster.run("usage --from 2026-12-01 --to 2026-12-04T01:30Z --by pool --format csv");
     BOOST_TEST(usage.contains("POOL,ROUTE,CALLER,REQUESTS"));
     BOOST_TEST(usage.contains("a,,,3,3,0,0,0,0,0.000,0,0\r\n"));
-    BOOST_TEST(cluster.service.lastUsage.from == 1'796'083'200'000);
-    BOOST_TEST(cluster.service.lastUsage.to == 1'796'347'800'000);
+    BOOST_TEST(cluster.service.lastUsage().from == 1'796'083'200'000);
+    BOOST_TEST(cluster.service.lastUsage().to == 1'796'347'800'000);
 }
 
 // Guards against an edit that overwrites one made after the document was fetched.
--- a/Tests/LibOperator/FakeService.h
+++ b/Tests/LibOperator/FakeService.h
@@ -16,7 +16,6 @@
     std::atomic<int> runningWaits { 0 };
     std::atomic<bool> endsWaits { false };
     Operator::OwnersRequest lastOwners;
-    Operator::UsageRequest lastUsage;
     std::optional<Operator::ServiceTarget> lastDrain;
     std::vector<Operator::QuarantineEntry> quarantined;
 
@@ -51,7 +50,10 @@
     }
     Operator::OperatorResult<Operator::UsageResponse> usage(Operator::UsageRequest const& request) override
     {
-        lastUsage = request;
+        {
+            std::scoped_lock const lock(mutex_);
+            lastUsage_ = request;
+        }
         return answer([] { return Operator::UsageResponse { 0, { { { { "a" }, {}, {} }, { .answered = 3 } } } }; });
     }
     Operator::OperatorResult<Operator::HistoryResponse> history(Operator::HistoryRequest const&) override
@@ -110,6 +112,13 @@
         return Operator::OperatorError(Operator::Timeout { request.timeout });
     }
 
+    /// Locked, since a test that runs another program shares no synchronization with the server's threads otherwise.
+    Operator::UsageRequest lastUsage()
+    {
+        std::scoped_lock const lock(mutex_);
+        return lastUsage_;
+    }
+
 private:
     template <typename Make> auto answer(Make make) -> Operator::OperatorResult<decltype(make())>
     {
@@ -133,6 +142,7 @@
     }
 
     std::mutex mutex_;
+    Operator::UsageRequest lastUsage_;
     Operator::TablesResponse tables_ { { 5 }, {}, {} };
     std::map<std::string, Core::Revision> outcomes_;
 };
--- a/Tests/LibOperator/TestServerAndClient.cpp
+++ b/Tests/LibOperator/TestServerAndClient.cpp
@@ -104,7 +104,7 @@
     BOOST_TEST(client.owners({ { "a" }, "k&=%+ /\xc3\xa9" }).value().pool.value == "a");
     BOOST_TEST(*service.lastOwners.key == "k&=%+ /\xc3\xa9");
     BOOST_TEST(client.usage({ 1, 2, Telemetry::UsageGrouping::Caller }).value().rows.at(0).counters.answered == 3U);
-    BOOST_TEST((service.lastUsage.to == 2 && service.lastUsage.grouping == Telemetry::UsageGrouping::Caller));
+    BOOST_TEST((service.lastUsage().to == 2 && service.lastUsage().grouping == Telemetry::UsageGrouping::Caller));
     BOOST_TEST(!client.history({}).isError());
     BOOST_TEST(client.tables({}).value().revision.value == 5U);
     BOOST_TEST(client.diff({ { 1 }, { 2 } }).value().to.value == 2U);
