--- a/Tests/LibConsensus/Simulation.cpp
+++ b/Tests/LibConsensus/Simulation.cpp
@@ -80,6 +80,7 @@
 void Simulation::bootstrap(std::vector<Name> const& names)
 {
     std::vector<Member> members;
+    members.reserve(names.size());
     for (auto const& name : names)
         members.push_back({ { name }, {} });
     auto const state = bootstrapState(Configuration::ofVoters(members));
@@ -373,14 +374,14 @@
             continue;
         if (!hosts_.contains(message.to.value))
             continue;
-        schedule(between(options_.latencyMin, options_.latencyMax), [this, message]() mutable {
+        schedule(between(options_.latencyMin, options_.latencyMax), [this, message] {
             if (random_.below(encodedShare) == 0) {
                 auto const decoded = decodeMessage(encodeMessage(message));
                 if (decoded.isError() || decoded.value() != message)
                     fail("a message changed in its encoding");
             }
             auto const to = message.to.value;
-            deliver(to, MessageReceived { std::move(message) });
+            deliver(to, MessageReceived { message });
         });
     }
 }
@@ -521,7 +522,7 @@
     return text.str();
 }
 
-void Simulation::fail(std::string text)
+void Simulation::fail(std::string const& text)
 {
     if (violation_.empty())
         violation_ = sentence("seed ", options_.seed, ", at ", Core::toMilliseconds(now_), " ms: ", text);
--- a/Tests/LibConsensus/Simulation.h
+++ b/Tests/LibConsensus/Simulation.h
@@ -183,7 +183,7 @@
     void transmit(Consensus::Message const&);
     void recordDurable(Host&, Consensus::PersistRequest const&);
 
-    void fail(std::string);
+    void fail(std::string const&);
     void checkActions(Name const&, Host&, Consensus::Actions const&);
     void checkMessage(Name const&, Host&, Consensus::Message const&);
     void checkNewLeader(Name const&, Host const&);
