--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -94,7 +94,10 @@
 ctl edit apply "$folder/tables.ini" --base 1 --author demo --wait=7s
 sleep 2
 echo "== failure domain fd2 out of service and back"
-ctl drain --domain fd2 && sleep 4 && ctl domains && ctl return --domain fd2
+ctl drain --domain fd2 --author demo
+sleep 4
+ctl domains
+ctl return --domain fd2 --author demo
 sleep 3
 leader=$(ctl status | awk '/^leader/ { sub(",", "", $2); print $2 }')
 echo "== kill of the control leader $leader and of the backend server s1"
@@ -106,6 +109,6 @@
 wait_for 10 ctl status
 ctl status
 ctl pools
-ctl usage --by pool
+ctl usage --by pool --from 1h
 cat "$folder/load.txt"
 exit "$verdict"
--- a/Meta/install-dependencies.sh
+++ b/Meta/install-dependencies.sh
@@ -4,7 +4,7 @@
 packages=(
     g++ cmake ninja-build ccache pkg-config clang-format clang-tidy clang libclang-rt-14-dev python3
     libtbb-dev libcapnp-dev capnproto prometheus-cpp-dev libcpp-httplib-dev libssl-dev zlib1g-dev libbrotli-dev
-    libcxxopts-dev liblog4cplus-dev libinih-dev nlohmann-json3-dev libxxhash-dev libboost-test-dev
+    libcxxopts-dev liblog4cplus-dev libinih-dev nlohmann-json3-dev libxxhash-dev libboost-dev libboost-test-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/Services/Daemon/Daemon.cpp
+++ b/Services/Daemon/Daemon.cpp
@@ -204,8 +204,8 @@
 
 Core::Result<Core::Void, StartError> Daemon::openListeners()
 {
-    auto service
-        = kj::heap<RpcService>(settings_, loop_, *events_, RpcService::Roles { control_.get(), dispatch_.get(), usage_.get() });
+    auto service = kj::heap<RpcService>(
+        settings_, loop_, *events_, RpcService::Roles { control_.get(), dispatch_.get(), usage_.get() });
     auto rpc = Rpc::Listener::open(loop_, settings_.listen.rpc, kj::mv(service));
     if (rpc.isError())
         return StartError(ListenerFailed { rpc.error().endpoint });
--- a/Services/Daemon/RemoteOrderGate.cpp
+++ b/Services/Daemon/RemoteOrderGate.cpp
@@ -159,8 +159,8 @@
 {
     auto const promise = std::make_shared<std::promise<ConfirmAnswer>>();
     auto answer = promise->get_future();
-    auto const confirmation = std::make_shared<Confirmation const>(Confirmation {
-        pool, slot, epoch, deadline, [promise](ConfirmAnswer result) { promise->set_value(result); } });
+    auto const confirmation = std::make_shared<Confirmation const>(
+        Confirmation { pool, slot, epoch, deadline, [promise](ConfirmAnswer result) { promise->set_value(result); } });
     auto const isPosted = loop_.post([this, confirmation] { sendConfirm(confirmation); });
     auto const left = deadline - Core::BootClock::now() + waitSlack + attemptTimeout;
     if (!isPosted || answer.wait_for(left) != std::future_status::ready)
--- a/Services/Daemon/UsageReporter.h
+++ b/Services/Daemon/UsageReporter.h
@@ -6,8 +6,8 @@
 
 namespace Daemon {
 
-/// Sends the usage that this host counted to the control hosts, so that it outlives this host. Batches are confirmed when a
-/// majority of the control hosts has stored them; until then they are sent again. Used on the loop's thread.
+/// Sends the usage that this host counted to the control hosts, so that it outlives this host. Batches are confirmed
+/// when a majority of the control hosts has stored them; until then they are sent again. Used on the loop's thread.
 class UsageReporter {
 public:
     UsageReporter(Config::DaemonSettings const&, Rpc::EventLoop&, Rpc::Connections&, Telemetry::UsageAccount&);
