--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -109,6 +109,6 @@
 wait_for 10 ctl status
 ctl status
 ctl pools
-ctl usage --by pool --from 1h
+ctl usage --by pool --from "$(date -u +%Y-%m-%d)"
 cat "$folder/load.txt"
 exit "$verdict"
