--- a/Libraries/LibControl/Leader.cpp
+++ b/Libraries/LibControl/Leader.cpp
@@ -95,6 +95,7 @@
     HeartbeatAnswer answer {
         .host = heartbeat.host.name, .incarnation = heartbeat.host.incarnation, .sequence = heartbeat.sequence
     };
+    answer.hasQuorum = mayGrant(now);
     recordWork(now, heartbeat);
     if (auto* lease = findHostLease(now, heartbeat)) {
         recordHeartbeat(now, heartbeat, *lease);
--- a/Services/Daemon/ControlNode.cpp
+++ b/Services/Daemon/ControlNode.cpp
@@ -107,7 +107,8 @@
         else if (auto* propose = std::get_if<Control::Propose>(&action))
             submit(propose->command, [](auto const&) {});
     }
-    if (!answer)
+    // Without a quorum another host may lead already, and the entry host has to find it before its lease ends.
+    if (!answer || !answer->hasQuorum)
         return notLeader();
     return std::move(*answer);
 }
--- a/Services/Daemon/DispatchTable.cpp
+++ b/Services/Daemon/DispatchTable.cpp
@@ -84,8 +84,10 @@
         }
         if (result) {
             held_.add({ result.value(), attempt->group, request.route, request.fingerprint, attempt->dispatcher });
-            if (isStillDispatcher(*attempt))
+            if (isStillDispatcher(*attempt)) {
+                rememberHedgeDelay(request, result.value());
                 return result;
+            }
             // The dispatcher changed while the grant was on its way, so the new one may not know the permit.
             release(request.pool, result.value().server, notSent(result.value().id));
         } else if (!isRedirect(result)) {
@@ -97,6 +99,25 @@
     }
 }
 
+void DispatchTable::rememberHedgeDelay(Policy::AcquireRequest const& request, Policy::Permit const& permit)
+{
+    if (request.owner || request.kind != Policy::AttemptKind::First)
+        return;
+    if (permit.hedgeAfter) {
+        decltype(hedgeDelays_)::accessor entry;
+        hedgeDelays_.insert(entry, request.route.value);
+        entry->second = *permit.hedgeAfter;
+    } else {
+        hedgeDelays_.erase(request.route.value);
+    }
+}
+
+std::optional<Core::Duration> DispatchTable::hedgeDelay(Core::PoolName const&, Core::RouteName const& route) const
+{
+    decltype(hedgeDelays_)::const_accessor found;
+    return hedgeDelays_.find(found, route.value) ? std::optional(found->second) : std::nullopt;
+}
+
 std::optional<DispatchTable::Attempt> DispatchTable::locate(Policy::AcquireRequest const& request) const
 {
     auto const view = views_.currentView();
--- a/Services/Daemon/DispatchTable.h
+++ b/Services/Daemon/DispatchTable.h
@@ -6,6 +6,8 @@
 #include <LibCore/Random.h>
 #include <LibRpc/Connections.h>
 
+#include <oneapi/tbb/concurrent_hash_map.h>
+
 #include <atomic>
 #include <map>
 #include <shared_mutex>
@@ -21,6 +23,7 @@
     // Called from traffic threads.
     Policy::AcquireResult acquire(Policy::AcquireRequest const&) override;
     void release(Core::PoolName const&, Core::ServerName const&, Policy::ReleaseReport const&) override;
+    std::optional<Core::Duration> hedgeDelay(Core::PoolName const&, Core::RouteName const&) const override;
 
     // Called on the loop's thread.
 
@@ -49,6 +52,7 @@
     Policy::AcquireResult acquireLocal(LocalGroup&, Policy::AcquireRequest const&);
     Policy::AcquireResult acquireRemote(Attempt const&, Policy::AcquireRequest const&);
     bool isStillDispatcher(Attempt const&) const;
+    void rememberHedgeDelay(Policy::AcquireRequest const&, Policy::Permit const&);
     void releaseHeld(HeldPermit const&, Policy::ReleaseReport const&);
     void sendRelease(HeldPermit const&, Policy::ReleaseReport const&);
 
@@ -62,6 +66,8 @@
     std::map<GroupId, std::shared_ptr<LocalGroup>> groups_;
     Core::TimePoint leaseUntil_;
     HeldPermits held_;
+    /// By route, from the last permit that allowed a hedged attempt.
+    tbb::concurrent_hash_map<std::string, Core::Duration> hedgeDelays_;
     mutable std::atomic<std::uint32_t> nextGroup_ { 0 };
 };
 
--- a/Tests/LibControl/TestLeader.cpp
+++ b/Tests/LibControl/TestLeader.cpp
@@ -99,6 +99,14 @@
     BOOST_TEST(answer.grants.front().slots.empty());
 }
 
+// Guards against an entry host that stays with a leader which was cut off from its quorum until its view lease ends.
+BOOST_AUTO_TEST_CASE(AnswersTellWhetherTheLeaderHasItsQuorum)
+{
+    BOOST_TEST(heartbeat({}).hasQuorum);
+    now += 391ms;
+    BOOST_TEST(!heartbeat({}).hasQuorum);
+}
+
 // Guards against loss of all servers after a pause of the leader, while their heartbeats wait in its queue.
 BOOST_AUTO_TEST_CASE(AResumedLeaderHearsWaitingHeartbeatsFirst)
 {
