Fix a data race in a test's fake service and findings of clang-tidy

ThreadSanitizer reported that TestCtl sets the fake's hook while a server thread may read it; the hook is behind a lock now.

--- a/Services/Daemon/OperatorAdapter.cpp
+++ b/Services/Daemon/OperatorAdapter.cpp
@@ -147,7 +147,7 @@
 
 template <typename T> OperatorResult<T> OperatorAdapter::read(std::function<OperatorResult<T>()> function)
 {
-    return onLoop<T>(callLimit, [this, function = std::move(function)](Answer<T> answer) {
+    return onLoop<T>(callLimit, [this, function = std::move(function)](Answer<T> const& answer) {
         sources_.control.confirmLeadership([this, function, answer](auto const& confirmed) {
             if (confirmed && sources_.control.isLeading())
                 answer(function());
@@ -160,7 +160,7 @@
 OperatorResult<Control::Outcome> OperatorAdapter::commit(std::function<Control::Command()> makeCommand)
 {
     using Result = Control::Outcome;
-    return onLoop<Result>(callLimit, [this, makeCommand = std::move(makeCommand)](Answer<Result> answer) {
+    return onLoop<Result>(callLimit, [this, makeCommand = std::move(makeCommand)](Answer<Result> const& answer) {
         if (!sources_.control.isLeading()) {
             answerNotLeader(answer);
             return;
--- a/Tests/LibControl/TestSimulation.cpp
+++ b/Tests/LibControl/TestSimulation.cpp
@@ -21,7 +21,12 @@
 // twice, lost edits, and slots that stay without an owner, under any mix of faults.
 BOOST_AUTO_TEST_CASE(InvariantsHoldUnderRandomFaults)
 {
+    // Sanitizers slow the simulation down tenfold.
+#if defined(__SANITIZE_THREAD__) || defined(__SANITIZE_ADDRESS__)
+    constexpr std::uint64_t seeds = 20;
+#else
     constexpr std::uint64_t seeds = 150;
+#endif
     std::uint64_t changes = 0;
     std::uint64_t elections = 0;
     std::uint64_t served = 0;
--- a/Tests/LibOperator/FakeService.h
+++ b/Tests/LibOperator/FakeService.h
@@ -11,7 +11,28 @@
 class FakeService final : public Operator::OperatorService {
 public:
     /// Called before each request; an error is returned instead of the response.
-    std::function<std::optional<Operator::OperatorError>()> beforeRequest;
+    /// Set by the test while threads of the server may read it.
+    class Hook {
+    public:
+        using Function = std::function<std::optional<Operator::OperatorError>()>;
+
+        Hook& operator=(Function function)
+        {
+            std::scoped_lock const lock(mutex_);
+            function_ = std::move(function);
+            return *this;
+        }
+        Function get() const
+        {
+            std::scoped_lock const lock(mutex_);
+            return function_;
+        }
+
+    private:
+        mutable std::mutex mutex_;
+        Function function_;
+    };
+    Hook beforeRequest;
     std::size_t edits { 0 };
     std::atomic<int> runningWaits { 0 };
     std::atomic<bool> endsWaits { false };
@@ -72,7 +93,8 @@
     {
         // The edit is stored before the injected fault, as when only the response is lost.
         auto result = apply(request);
-        if (auto fault = beforeRequest ? beforeRequest() : std::nullopt)
+        auto const hook = beforeRequest.get();
+        if (auto fault = hook ? hook() : std::nullopt)
             return std::move(*fault);
         return result;
     }
@@ -94,7 +116,8 @@
     {
         auto const removed
             = std::erase_if(quarantined, [&](auto const& entry) { return entry.fingerprint == request.fingerprint; });
-        if (auto fault = beforeRequest ? beforeRequest() : std::nullopt)
+        auto const hook = beforeRequest.get();
+        if (auto fault = hook ? hook() : std::nullopt)
             return std::move(*fault);
         if (removed == 0)
             return Operator::OperatorError(
@@ -122,7 +145,8 @@
 private:
     template <typename Make> auto answer(Make make) -> Operator::OperatorResult<decltype(make())>
     {
-        if (auto fault = beforeRequest ? beforeRequest() : std::nullopt)
+        auto const hook = beforeRequest.get();
+        if (auto fault = hook ? hook() : std::nullopt)
             return std::move(*fault);
         return make();
     }
--- a/Utilities/ConsensusBench/Voter.cpp
+++ b/Utilities/ConsensusBench/Voter.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-Voter::Voter(std::string const& directory, Core::HostName host, Consensus::Configuration const& configuration,
+Voter::Voter(std::string const& directory, Core::HostName const& host, Consensus::Configuration const& configuration,
     OnPersisted onPersisted)
     : disk_(directory)
     , onPersisted_(std::move(onPersisted))
--- a/Utilities/ConsensusBench/Voter.h
+++ b/Utilities/ConsensusBench/Voter.h
@@ -17,7 +17,7 @@
     /// Called by the storage thread once writes are durable.
     using OnPersisted = std::function<void(Consensus::PersistSequence)>;
 
-    Voter(std::string const& directory, Core::HostName, Consensus::Configuration const&, OnPersisted);
+    Voter(std::string const& directory, Core::HostName const&, Consensus::Configuration const&, OnPersisted);
     ~Voter();
     Voter(Voter const&) = delete;
     Voter& operator=(Voter const&) = delete;
--- a/Utilities/ControlBench/Churn.cpp
+++ b/Utilities/ControlBench/Churn.cpp
@@ -134,7 +134,9 @@
     ModuloPlacement const modulo;
     std::pair<std::size_t, std::size_t> const sizes[]
         = { { 20, 1'024 }, { 30, 1'024 }, { 300, 16'384 }, { 4'000, 131'072 } };
-    for (auto const& [servers, slots] : sizes) {
+    for (auto const& size : sizes) {
+        auto const servers = size.first;
+        auto const slots = size.second;
         auto const perServer
             = [&](std::size_t count) { return static_cast<double>(slots) / static_cast<double>(count); };
         printMoves("join", servers, slots, perServer(servers + 1), movesOnJoin(balanced, servers, slots),
--- a/Utilities/PolicyBench/BaselineLimits.cpp
+++ b/Utilities/PolicyBench/BaselineLimits.cpp
@@ -70,7 +70,7 @@
     std::vector<std::size_t> order(hosts);
     std::iota(order.begin(), order.end(), std::size_t { 0 });
     // Equal demand takes turns over the rounds.
-    std::ranges::rotate(order, order.begin() + static_cast<std::ptrdiff_t>(rounds_ % hosts));
+    std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(rounds_ % hosts), order.end());
     double demand = 0;
     for (auto const host : order)
         demand += frozen_[host] ? 0 : cell(host, server).demand;
--- a/Utilities/PolicyBench/ScenarioLoad.cpp
+++ b/Utilities/PolicyBench/ScenarioLoad.cpp
@@ -1,6 +1,7 @@
 #include "Scenarios.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstdio>
 
@@ -167,10 +168,11 @@
     for (auto const kind : { Routing::PoolKind::AnyServer, Routing::PoolKind::KeyPartitioned }) {
         for (auto const servers : { 8, 64, 512 }) {
             for (auto const waiting : { 0, 1'000, 100'000 }) {
-                std::vector<double> runs;
-                for (int run = 0; run < 5; ++run)
-                    runs.push_back(nanosecondsPerPair(
-                        static_cast<std::size_t>(servers), static_cast<std::size_t>(waiting), kind, seed));
+                std::array<double, 5> runs {};
+                std::ranges::generate(runs, [&] {
+                    return nanosecondsPerPair(
+                        static_cast<std::size_t>(servers), static_cast<std::size_t>(waiting), kind, seed);
+                });
                 std::ranges::sort(runs);
                 std::printf("| %s | %d | %d | %.0f |\n",
                     kind == Routing::PoolKind::AnyServer ? "any-server" : "key-partitioned", servers, waiting, runs[2]);
