--- a/Libraries/LibRpc/EventLoop.cpp
+++ b/Libraries/LibRpc/EventLoop.cpp
@@ -16,8 +16,10 @@
     // Without the descriptor no other thread can reach the loop. Only descriptor exhaustion at start-up causes this.
     if (wakeDescriptor_ < 0)
         std::abort();
-    wakeStream_ = io_.lowLevelProvider->wrapInputFd(
-        wakeDescriptor_, kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC | kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+    // The stream owns the descriptor: closing it while the stream still watches it makes the stream's destructor throw.
+    wakeStream_ = io_.lowLevelProvider->wrapInputFd(wakeDescriptor_,
+        kj::LowLevelAsyncIoProvider::TAKE_OWNERSHIP | kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC
+            | kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
     tasks_.add(drainPosted());
 }
 
@@ -25,7 +27,6 @@
 {
     std::scoped_lock const lock(mutex_);
     stopped_ = true;
-    close(wakeDescriptor_);
 }
 
 void EventLoop::run()
