--- /dev/null
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -0,0 +1,416 @@
+#include <LibConsensus/Codec.h>
+#include <LibControlHost/ControlHost.h>
+
+#include <algorithm>
+
+namespace ControlHost {
+
+using Telemetry::EventId;
+
+namespace {
+
+    constexpr Core::Duration tickInterval = std::chrono::milliseconds(50);
+    /// Changes of the view within this time are sent together.
+    constexpr Core::Duration publishDelay = std::chrono::milliseconds(5);
+    constexpr Core::Duration joinInterval = std::chrono::milliseconds(250);
+    /// A host that hears of no leader for this long asks whether it is still a member. Two election timeouts.
+    constexpr Core::Duration leaderSilence = std::chrono::milliseconds(1600);
+    constexpr Core::Duration joinerExpiry = std::chrono::seconds(2);
+    constexpr Core::Duration memberChangeInterval = std::chrono::milliseconds(20);
+    /// A peer or entry host that has not taken this much is cut off, and starts again with a new channel.
+    constexpr std::size_t maxPendingBytes = 16UL * 1024 * 1024;
+    /// Entry hosts that were lost count for this long, since they may still be serving.
+    constexpr Core::Duration sharingMemory = std::chrono::seconds(30);
+    /// A new leader says how many entry hosts there are only once they had time to connect.
+    constexpr Core::Duration sharingDelay = std::chrono::seconds(2);
+
+    Consensus::Settings consensusSettings(Core::HostName const& identity)
+    {
+        Consensus::Settings settings;
+        settings.clusterId = { "fleet" };
+        settings.host = identity;
+        settings.snapshotInterval = 2'000;
+        settings.retainedEntries = 500;
+        return settings;
+    }
+
+} // namespace
+
+ControlHost::ControlHost(
+    Net::EventLoop& loop, Telemetry::EventLog& events, ControlHostSettings settings, OpenedStore store)
+    : loop_(loop)
+    , events_(events)
+    , settings_(std::move(settings))
+    , identity_(store.identity)
+    , replica_(loop, events, *this, consensusSettings(store.identity), std::move(store.opened))
+    , lastLeader_(loop.now())
+{
+    tick();
+}
+
+ControlHost::~ControlHost() { loop_.cancel(timer_); }
+
+bool ControlHost::listen()
+{
+    listener_ = Net::Listener::open(loop_, settings_.address, [this](int fd) { accept(fd); });
+    return listener_ != nullptr;
+}
+
+void ControlHost::accept(int fd)
+{
+    Net::FrameHandler& handler = *this;
+    incoming_.push_back(std::make_unique<Net::FrameChannel>(loop_, handler, fd));
+}
+
+void ControlHost::heartbeat(Fleet::Heartbeat beat, std::function<void(HeartbeatResult)> callback)
+{
+    auto const receivedAt = Core::BootClock::now();
+    if (!coordinator_ || !replica_.hasAuthority()) {
+        callback(SubmitError(NotLeading {}));
+        return;
+    }
+    auto const admission = coordinator_->admit(beat);
+    if (!admission) {
+        answerHeartbeat(beat, receivedAt, callback);
+        return;
+    }
+    replica_.submit(*admission,
+        [this, beat = std::move(beat), receivedAt, callback = std::move(callback)](SubmitResult const& result) {
+            if (result.isError())
+                callback(result.error());
+            else
+                answerHeartbeat(beat, receivedAt, callback);
+        });
+}
+
+void ControlHost::answerHeartbeat(
+    Fleet::Heartbeat const& beat, Core::TimePoint receivedAt, std::function<void(HeartbeatResult)> const& callback)
+{
+    if (!coordinator_ || !replica_.hasAuthority()) {
+        callback(SubmitError(NotLeading {}));
+        return;
+    }
+    callback(coordinator_->answer(receivedAt, Core::BootClock::now(), beat));
+    submitDecisions();
+    publishSoon();
+}
+
+void ControlHost::leave(Core::ServerName const& name, std::function<void(ChangeResult)> callback)
+{
+    if (!coordinator_) {
+        callback(NotLeading {});
+        return;
+    }
+    auto const command = coordinator_->leave(name);
+    if (!command) {
+        // Gone already, or never announced.
+        read([callback = std::move(callback)](auto const& state) {
+            if (state.isError())
+                callback(NotLeading {});
+            else
+                callback(Core::Void {});
+        });
+        return;
+    }
+    commit(*command, std::move(callback));
+}
+
+void ControlHost::change(Fleet::ItemChange change, std::function<void(ChangeResult)> callback)
+{
+    Fleet::Command command;
+    command.items = std::move(change);
+    commit(command, std::move(callback));
+}
+
+void ControlHost::change(Fleet::DomainChange change, std::function<void(ChangeResult)> callback)
+{
+    Fleet::Command command;
+    command.domain = std::move(change);
+    commit(command, std::move(callback));
+}
+
+void ControlHost::commit(Fleet::Command const& command, std::function<void(ChangeResult)> callback)
+{
+    if (!coordinator_) {
+        callback(NotLeading {});
+        return;
+    }
+    replica_.submit(command, [callback = std::move(callback)](SubmitResult const& result) {
+        if (result.isError())
+            std::visit([&](auto const& error) { callback(error); }, result.error());
+        else if (result.value().error)
+            callback(*result.value().error);
+        else
+            callback(Core::Void {});
+    });
+}
+
+void ControlHost::read(std::function<void(Core::Result<Fleet::State const*, NotLeading>)> callback)
+{
+    if (!coordinator_) {
+        callback(NotLeading {});
+        return;
+    }
+    replica_.confirmLeading([this, callback = std::move(callback)](bool isLeading) {
+        if (isLeading)
+            callback(&replica_.state());
+        else
+            callback(NotLeading {});
+    });
+}
+
+std::optional<Core::Endpoint> ControlHost::leader() const
+{
+    auto const leader = replica_.status().leader;
+    if (!leader)
+        return hintedLeader_;
+    return *leader == identity_ ? std::nullopt : addressOf(*leader);
+}
+
+void ControlHost::send(Consensus::Message const& message)
+{
+    auto const address = addressOf(message.to);
+    if (!address)
+        return;
+    auto& channel = channelTo(*address);
+    // Consensus bears the loss of messages.
+    if (channel.pendingBytes() <= maxPendingBytes)
+        channel.send(makeFrame(FrameType::Consensus, std::string_view(Consensus::encodeMessage(message))));
+}
+
+Net::FrameChannel& ControlHost::channelTo(Core::Endpoint const& address)
+{
+    Net::FrameHandler& handler = *this;
+    auto& channel = outgoing_[address];
+    if (!channel)
+        channel = std::make_unique<Net::FrameChannel>(loop_, handler, address);
+    return *channel;
+}
+
+void ControlHost::onClosed(Net::FrameChannel& channel)
+{
+    entryChannels_.erase(&channel);
+    for (auto found = outgoing_.begin(); found != outgoing_.end(); ++found) {
+        if (found->second.get() != &channel)
+            continue;
+        loop_.reclaim(std::move(found->second));
+        outgoing_.erase(found);
+        return;
+    }
+    auto const found = std::ranges::find(incoming_, &channel, &std::unique_ptr<Net::FrameChannel>::get);
+    if (found == incoming_.end())
+        return;
+    loop_.reclaim(std::move(*found));
+    incoming_.erase(found);
+}
+
+void ControlHost::onFrame(Net::FrameChannel& channel, std::string_view frame)
+{
+    auto const payload = frame.substr(1);
+    switch (static_cast<FrameType>(frame.front())) {
+    case FrameType::Consensus:
+        if (auto message = Consensus::decodeMessage(payload); !message.isError())
+            replica_.deliver(std::move(message).value());
+        else
+            events_.write(EventId::PeerUnreachable, { { "reason", Consensus::describe(message.error()) } });
+        return;
+    case FrameType::Hello:
+        if (auto const hello = Fleet::decode<Hello>(payload))
+            onHello(channel, *hello);
+        return;
+    case FrameType::Join:
+        if (auto const request = Fleet::decode<JoinRequest>(payload))
+            onJoin(channel, *request);
+        return;
+    case FrameType::Report:
+        if (auto const report = Fleet::decode<Fleet::LoadReport>(payload))
+            onReport(*report);
+        return;
+    case FrameType::Leader:
+        if (auto const hint = Fleet::decode<LeaderHint>(payload))
+            onHint(*hint);
+        return;
+    case FrameType::View:
+        return;
+    }
+}
+
+LeaderHint ControlHost::hint() const
+{
+    LeaderHint hint;
+    hint.leader = isLeading() ? settings_.address : leader();
+    auto const status = replica_.status();
+    for (auto const* const list : { &status.configuration.voters, &status.configuration.learners }) {
+        for (auto const& member : *list)
+            hint.members.push_back(member.endpoint);
+    }
+    return hint;
+}
+
+void ControlHost::onHello(Net::FrameChannel& channel, Hello const& hello)
+{
+    if (!coordinator_) {
+        channel.send(makeFrame(FrameType::Leader, hint()));
+        return;
+    }
+    publish();
+    channel.send(makeFrame(FrameType::Leader, hint()));
+    entryChannels_.insert(&channel);
+    events_.write(EventId::EntryHostJoined, { { "entry", hello.entryHost } });
+    channel.send(makeFrame(
+        FrameType::View, Fleet::wholeView(replica_.state(), *coordinator_, loop_.now(), sharingEntryHosts())));
+}
+
+void ControlHost::onJoin(Net::FrameChannel& channel, JoinRequest const& request)
+{
+    if (!coordinator_) {
+        channel.send(makeFrame(FrameType::Leader, hint()));
+        return;
+    }
+    Core::HostName const identity { request.identity };
+    joiners_[identity] = { { identity, request.address }, loop_.now() };
+}
+
+void ControlHost::onHint(LeaderHint const& hint) { hintedLeader_ = hint.leader; }
+
+void ControlHost::onReport(Fleet::LoadReport const& report)
+{
+    if (coordinator_)
+        coordinator_->onReport(loop_.now(), report);
+}
+
+void ControlHost::onApplied(Fleet::Command const& command, Fleet::Applied const& applied)
+{
+    if (!coordinator_)
+        return;
+    coordinator_->onApplied(loop_.now(), command, applied);
+    Fleet::addChanges(update_, replica_.state(), *coordinator_, command, applied, loop_.now());
+    publishSoon();
+}
+
+void ControlHost::onLeading(bool isLeading)
+{
+    update_ = {};
+    if (isLeading) {
+        coordinator_ = std::make_unique<Fleet::Coordinator>(replica_.state(), settings_.coordinator, loop_.now());
+        leadingSince_ = loop_.now();
+        sharing_ = 0;
+        return;
+    }
+    coordinator_.reset();
+    joiners_.clear();
+    // Entry hosts look for the new leader at once.
+    for (auto* const channel : std::exchange(entryChannels_, {})) {
+        channel->send(makeFrame(FrameType::Leader, hint()));
+        channel->close();
+        onClosed(*channel);
+    }
+}
+
+void ControlHost::submitDecisions()
+{
+    if (!coordinator_)
+        return;
+    if (auto const command = coordinator_->takeCommand())
+        replica_.submit(*command, [](auto const&) {});
+}
+
+void ControlHost::publishSoon()
+{
+    if (std::exchange(isPublishScheduled_, true))
+        return;
+    loop_.after(publishDelay, [this] { publish(); });
+}
+
+void ControlHost::publish()
+{
+    isPublishScheduled_ = false;
+    if (!coordinator_)
+        return;
+    auto const now = loop_.now();
+    for (auto const number : coordinator_->takeColdChanges())
+        Fleet::addServer(update_, replica_.state(), *coordinator_, number, now);
+    auto rows = coordinator_->takeRows();
+    std::ranges::move(rows, std::back_inserter(update_.ranges));
+    if (coordinator_->hasNewQuarantine())
+        update_.quarantined = coordinator_->quarantined(now);
+    if (update_.isEmpty())
+        return;
+    auto const frame = makeFrame(FrameType::View, update_);
+    update_ = {};
+    for (auto* const channel : entryChannels_) {
+        if (channel->pendingBytes() <= maxPendingBytes)
+            channel->send(frame);
+    }
+}
+
+std::uint32_t ControlHost::sharingEntryHosts()
+{
+    auto const now = loop_.now();
+    auto const present = static_cast<std::uint32_t>(entryChannels_.size());
+    if (present >= sharing_ || now - sharingSince_ > sharingMemory) {
+        sharing_ = present;
+        sharingSince_ = now;
+    }
+    return now - leadingSince_ < sharingDelay ? 0 : sharing_;
+}
+
+void ControlHost::tick()
+{
+    timer_ = loop_.after(tickInterval, [this] { tick(); });
+    auto const now = loop_.now();
+    if (replica_.status().leader)
+        lastLeader_ = now;
+    askToJoin();
+    if (!coordinator_)
+        return;
+    coordinator_->tick(now);
+    submitDecisions();
+    auto const before = sharing_;
+    auto const sharing = sharingEntryHosts();
+    if (sharing != 0 && (sharing != before || now - leadingSince_ < sharingDelay + 2 * tickInterval))
+        update_.entryHosts = sharing;
+    publish();
+    superviseMembers();
+}
+
+void ControlHost::askToJoin()
+{
+    auto const now = loop_.now();
+    auto const status = replica_.status();
+    auto const isSettled = status.leader && status.configuration.isMember(identity_);
+    if (isSettled || now - lastJoin_ < joinInterval)
+        return;
+    // An ordinary election needs no help.
+    if (status.configuration.isMember(identity_) && now - lastLeader_ < leaderSilence)
+        return;
+    lastJoin_ = now;
+    std::vector<Core::Endpoint> candidates = settings_.seeds;
+    std::ranges::transform(status.configuration.voters, std::back_inserter(candidates), &Consensus::Member::endpoint);
+    std::erase(candidates, settings_.address);
+    auto const isHintUsed = hintedLeader_ && *hintedLeader_ != settings_.address;
+    if (!isHintUsed && candidates.empty())
+        return;
+    auto const target = isHintUsed ? *hintedLeader_ : candidates[nextSeed_++ % candidates.size()];
+    // The hint is used once, so that a wrong one does not last.
+    hintedLeader_.reset();
+    channelTo(target).send(makeFrame(FrameType::Join, JoinRequest { identity_.value, settings_.address }));
+}
+
+void ControlHost::superviseMembers()
+{
+    auto const now = loop_.now();
+    std::erase_if(joiners_, [&](auto const& entry) { return now - entry.second.lastHeard > joinerExpiry; });
+    auto const status = replica_.status();
+    if (!status.isConfigurationCommitted || now - lastMemberChange_ < memberChangeInterval)
+        return;
+    std::vector<Joiner> joiners;
+    std::ranges::transform(joiners_, std::back_inserter(joiners), [](auto const& entry) { return entry.second; });
+    auto const change = planMembership(status, joiners, now);
+    if (!change)
+        return;
+    lastMemberChange_ = now;
+    replica_.requestChange(*change);
+}
+
+} // namespace ControlHost
--- /dev/null
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -0,0 +1,506 @@
+#include <LibFleet/Coordinator.h>
+
+#include <algorithm>
+
+namespace Fleet {
+
+namespace {
+
+    /// How long heartbeats may be late in addition to the hold and the drift, for the time until they are handled.
+    constexpr Core::Duration leaseMargin = std::chrono::milliseconds(150);
+    /// No server of a pool has joined for this long: the first assignment can be made.
+    constexpr Core::Duration settleTime = std::chrono::milliseconds(1200);
+    /// A server without a heartbeat for this many intervals gets no further ranges.
+    constexpr int maxMissedBeats = 3;
+    /// A server without any heartbeat for this long is forgotten.
+    constexpr Core::Duration forgetAfter = std::chrono::seconds(25);
+    constexpr Core::Duration balanceInterval = std::chrono::milliseconds(500);
+    /// A range stays this long where it was moved to.
+    constexpr Core::Duration moveCooldown = std::chrono::seconds(4);
+    /// Weight of the newest interval in the load of a range. Half of a change shows after one second.
+    constexpr double loadSmoothing = 0.3;
+    /// Requests a second that a range counts for beside those measured, so that servers that joined get ranges.
+    constexpr double baseLoad = 0.02;
+    constexpr double latencySmoothing = 0.3;
+    /// Bounds of the measured speed of a server relative to its pool.
+    constexpr double minSpeed = 0.4;
+    constexpr double maxSpeed = 2.0;
+    /// The answer to a heartbeat has at most 4 KiB; its frame needs a little.
+    constexpr std::size_t maxGrantBytes = 3900;
+    /// Length of a range in that answer without its handover text.
+    constexpr std::size_t bytesPerRange = 30;
+    /// A crash counts against a request if the server's end is confirmed within this time.
+    constexpr Core::Duration suspicionTime = std::chrono::seconds(20);
+
+    Policy::QuarantineSettings quarantineSettings()
+    {
+        Policy::QuarantineSettings settings;
+        // Two servers may be lost at once for a reason of their own.
+        settings.serversToQuarantine = 3;
+        settings.suspicionTime = std::chrono::minutes(1);
+        return settings;
+    }
+
+    bool covers(std::uint32_t first, std::uint32_t last, KeyRange const& range)
+    {
+        return first <= range.first && range.last <= last;
+    }
+
+    bool overlaps(std::uint32_t first, std::uint32_t last, KeyRange const& range)
+    {
+        return first <= range.last && range.first <= last;
+    }
+
+} // namespace
+
+Coordinator::Coordinator(State const& state, CoordinatorSettings const& settings, Core::TimePoint now)
+    : state_(state)
+    , settings_(settings)
+    , startedAt_(now)
+    , lastBalance_(now)
+    , crashes_(quarantineSettings())
+{
+    for (auto const& [name, pool] : state_.pools()) {
+        for (auto const& range : state_.keys({ name })) {
+            auto& soft = ranges_[{ name }][range.first];
+            soft.isGranted = range.owner != 0;
+            soft.published = range.owner;
+        }
+    }
+}
+
+Core::TimePoint Coordinator::leaseEnd(ServerNumber number) const
+{
+    auto const found = leases_.find(number);
+    if (found != leases_.end())
+        return found->second;
+    // The previous leader may have renewed its hold until this one took over.
+    auto const hold = std::chrono::duration_cast<Core::Duration>(settings_.hold * (1 + settings_.clockDrift));
+    return startedAt_ + hold + leaseMargin;
+}
+
+bool Coordinator::isStale(ServerRecord const& known, Heartbeat const& beat) const
+{
+    if (beat.server.bornMs < known.bornMs)
+        return true;
+    auto const found = servers_.find(known.number);
+    return beat.server.bornMs == known.bornMs && found != servers_.end() && beat.sequence <= found->second.lastSequence;
+}
+
+std::optional<Command> Coordinator::admit(Heartbeat const& beat) const
+{
+    auto const* const known = state_.findServer(beat.server.name);
+    Command command;
+    if (known && beat.server.bornMs <= known->bornMs) {
+        if (isStale(*known, beat) || known->isDraining || !beat.isDraining)
+            return std::nullopt;
+        command.servers.draining.push_back(known->number);
+        return command;
+    }
+    if (state_.hasDeparted(beat.server.name, beat.server.bornMs))
+        return std::nullopt;
+    auto const isSuperseded = std::ranges::any_of(state_.servers(), [&](auto const& entry) {
+        return entry.second.address == beat.server.address && entry.second.bornMs >= beat.server.bornMs;
+    });
+    if (isSuperseded)
+        return std::nullopt;
+    command.servers.joined.push_back(beat.server);
+    command.servers.joined.back().isDraining = beat.isDraining;
+    return command;
+}
+
+std::optional<Command> Coordinator::leave(Core::ServerName const& name) const
+{
+    auto const* const known = state_.findServer(name);
+    if (!known)
+        return std::nullopt;
+    Command command;
+    command.servers.removed.push_back(known->number);
+    return command;
+}
+
+std::optional<Grant> Coordinator::answer(Core::TimePoint receivedAt, Core::TimePoint now, Heartbeat const& beat)
+{
+    auto const* const known = state_.findServer(beat.server.name);
+    if (!known || known->bornMs != beat.server.bornMs || isStale(*known, beat))
+        return std::nullopt;
+    auto& server = servers_[known->number];
+    server.lastSequence = beat.sequence;
+    server.lastBeat = now;
+    server.hasBeat = true;
+    auto const coldUntil = beat.warmupLeft > Core::Duration::zero() ? now + beat.warmupLeft : Core::TimePoint {};
+    if ((coldUntil > now) != (server.coldUntil > now))
+        coldChanges_.push_back(known->number);
+    server.coldUntil = coldUntil;
+    auto const* const pool = state_.findPool(known->pool);
+    if (!pool || !pool->isKeyDivided)
+        return std::nullopt;
+    settleReleases(*known, beat);
+    if (known->isDraining || !mayOwn(*known, now))
+        planPool(*pool, now);
+    auto grant = makeGrant(*known, beat);
+    auto const hold = std::chrono::duration_cast<Core::Duration>(settings_.hold * (1 + settings_.clockDrift));
+    leases_[known->number] = receivedAt + hold + leaseMargin;
+    return grant;
+}
+
+/// Commits the next owner of ranges that the server has given back.
+void Coordinator::settleReleases(ServerRecord const& server, Heartbeat const& beat)
+{
+    auto& soft = ranges_[server.pool];
+    for (auto const& range : state_.keys(server.pool)) {
+        if (range.owner != server.number)
+            continue;
+        auto& state = soft[range.first];
+        if (!state.isRevoked || state.isProposed || state.target == 0)
+            continue;
+        auto const isHeld
+            = std::ranges::any_of(beat.holds, [&](auto const& held) { return overlaps(held.first, held.last, range); });
+        if (isHeld)
+            continue;
+        auto const release = std::ranges::find_if(
+            beat.released, [&](auto const& released) { return covers(released.first, released.last, range); });
+        propose(server.pool, range, state, state.target, release == beat.released.end() ? "" : release->handover);
+    }
+}
+
+Grant Coordinator::makeGrant(ServerRecord const& server, Heartbeat const& beat)
+{
+    Grant grant;
+    grant.hold = settings_.hold;
+    auto& soft = ranges_[server.pool];
+    std::size_t bytes = 0;
+    for (auto const& range : state_.keys(server.pool)) {
+        if (range.owner != server.number)
+            continue;
+        auto& state = soft[range.first];
+        auto const isLeaving = (state.target != 0 && state.target != server.number) || state.isProposed;
+        if (isLeaving) {
+            state.isRevoked = true;
+            publish(server.pool, range, state);
+            continue;
+        }
+        auto const isHeld = std::ranges::any_of(beat.holds, [&](auto const& held) {
+            return held.fence == range.fence && held.first <= range.first && range.last <= held.last;
+        });
+        auto const handover = isHeld ? std::string() : range.handover;
+        auto const needed = bytesPerRange + handover.size();
+        // What does not fit follows with the next heartbeat.
+        if (bytes + needed > maxGrantBytes) {
+            state.isGranted = state.isGranted && isHeld;
+            publish(server.pool, range, state);
+            continue;
+        }
+        bytes += needed;
+        grant.ranges.push_back({ range.first, range.last, range.owner, range.fence, handover });
+        state.isGranted = true;
+        state.isRevoked = false;
+        state.target = 0;
+        publish(server.pool, range, state);
+    }
+    return grant;
+}
+
+void Coordinator::propose(
+    Core::PoolName const& pool, KeyRange const& range, RangeState& state, ServerNumber to, std::string handover)
+{
+    state.isProposed = true;
+    pending_.assignments.push_back({ pool, range.first, range.last, to, std::move(handover) });
+}
+
+void Coordinator::publish(Core::PoolName const& pool, KeyRange const& range, RangeState& state)
+{
+    auto const isServed = state.isGranted && !state.isRevoked && state_.findServer(range.owner);
+    auto const owner = isServed ? range.owner : 0;
+    if (owner == state.published)
+        return;
+    state.published = owner;
+    auto const wait = state.isRevoked || !state.isGranted ? settings_.beatInterval : settings_.hold;
+    rows_.push_back({ pool, range.first, range.last, owner, Core::toMilliseconds(wait) });
+}
+
+void Coordinator::onApplied(Core::TimePoint now, Command const& command, Applied const& applied)
+{
+    for (auto const number : applied.joined) {
+        auto const* const server = state_.findServer(number);
+        if (server)
+            lastJoin_[server->pool] = now;
+    }
+    for (auto const number : applied.removedServers)
+        confirmSuspicions(number, now);
+    if (!applied.removedServers.empty()) {
+        for (auto& [pool, states] : ranges_) {
+            for (auto const& range : state_.keys(pool))
+                publish(pool, range, states[range.first]);
+        }
+    }
+    for (auto const& assignment : command.assignments) {
+        auto& state = ranges_[assignment.pool][assignment.first];
+        state.isProposed = false;
+        state.isRevoked = false;
+        state.isGranted = false;
+        state.target = 0;
+        state.movedAt = now;
+        auto const keys = state_.keys(assignment.pool);
+        auto const range = std::ranges::lower_bound(keys, assignment.first, {}, &KeyRange::last);
+        if (range != keys.end())
+            publish(assignment.pool, *range, state);
+    }
+    if (command.domain && !command.domain->isEvacuated) {
+        // Its servers may have become cold while they were out of service, until their next heartbeat tells.
+        for (auto const& [number, server] : state_.servers()) {
+            auto const* const pool = state_.findPool(server.pool);
+            if (server.domain != command.domain->domain || !pool)
+                continue;
+            servers_[number].coldUntil = now + std::chrono::milliseconds(pool->warmupMs);
+            coldChanges_.push_back(number);
+        }
+    }
+}
+
+void Coordinator::confirmSuspicions(ServerNumber number, Core::TimePoint now)
+{
+    auto const found = suspicions_.extract(number);
+    if (found.empty())
+        return;
+    for (auto const& suspicion : found.mapped()) {
+        if (now - suspicion.at > suspicionTime)
+            continue;
+        auto const digest = Core::digest128(suspicion.fingerprint);
+        fingerprints_[digest] = suspicion.fingerprint;
+        if (crashes_.recordCrash(now, digest, { std::to_string(number) }))
+            hasNewQuarantine_ = true;
+    }
+}
+
+std::vector<std::string> Coordinator::quarantined(Core::TimePoint now) const
+{
+    std::vector<std::string> result;
+    for (auto const& entry : crashes_.quarantined(now)) {
+        auto const found = fingerprints_.find(entry.fingerprint);
+        if (found != fingerprints_.end())
+            result.push_back(found->second);
+    }
+    return result;
+}
+
+void Coordinator::onReport(Core::TimePoint now, LoadReport const& report)
+{
+    for (auto const& arrivals : report.arrivals) {
+        auto const keys = state_.keys(arrivals.pool);
+        auto& soft = ranges_[arrivals.pool];
+        for (auto const& [key, count] : arrivals.keys) {
+            auto const range = std::ranges::lower_bound(keys, key, {}, &KeyRange::last);
+            if (range != keys.end())
+                soft[range->first].arrivals += count;
+        }
+    }
+    for (auto const& latency : report.latencies) {
+        if (latency.answers == 0)
+            continue;
+        auto& mean = servers_[latency.server].meanMs;
+        auto const sample = latency.sumMs / latency.answers;
+        mean = mean == 0 ? sample : mean + latencySmoothing * (sample - mean);
+    }
+    for (auto const& suspicion : report.suspicions)
+        suspicions_[suspicion.server].push_back({ suspicion.fingerprint, now });
+}
+
+bool Coordinator::isCold(ServerNumber number, Core::TimePoint now) const
+{
+    return coldLeft(number, now) > Core::Duration::zero();
+}
+
+Core::Duration Coordinator::coldLeft(ServerNumber number, Core::TimePoint now) const
+{
+    auto const found = servers_.find(number);
+    if (found == servers_.end() || found->second.coldUntil <= now)
+        return Core::Duration::zero();
+    return found->second.coldUntil - now;
+}
+
+bool Coordinator::mayOwn(ServerRecord const& server, Core::TimePoint now) const
+{
+    if (server.isDraining || state_.evacuated().contains(server.domain.value))
+        return false;
+    auto const found = servers_.find(server.number);
+    // A new leader counts servers in until they had time for a heartbeat.
+    auto const lastBeat = found != servers_.end() && found->second.hasBeat ? found->second.lastBeat : startedAt_;
+    return now - lastBeat <= settings_.beatInterval * maxMissedBeats;
+}
+
+std::vector<PlacementServer> Coordinator::placementServers(Core::PoolName const& pool, Core::TimePoint now) const
+{
+    std::vector<PlacementServer> warm;
+    std::vector<PlacementServer> cold;
+    double sumMs = 0;
+    std::size_t measured = 0;
+    for (auto const& [number, server] : state_.servers()) {
+        if (server.pool != pool || !mayOwn(server, now))
+            continue;
+        auto& list = isCold(number, now) ? cold : warm;
+        list.push_back({ number, static_cast<double>(server.slots) });
+        auto const found = servers_.find(number);
+        if (found != servers_.end() && found->second.meanMs > 0) {
+            sumMs += found->second.meanMs;
+            ++measured;
+        }
+    }
+    auto& servers = warm.empty() ? cold : warm;
+    for (auto& server : servers) {
+        auto const found = servers_.find(server.number);
+        if (measured > 0 && found != servers_.end() && found->second.meanMs > 0)
+            server.capacity
+                *= std::clamp(sumMs / static_cast<double>(measured) / found->second.meanMs, minSpeed, maxSpeed);
+    }
+    auto const soft = ranges_.find(pool);
+    if (soft == ranges_.end())
+        return std::move(servers);
+    for (auto const& range : state_.keys(pool)) {
+        auto const state = soft->second.find(range.first);
+        auto const hasState = state != soft->second.end();
+        auto const holder = hasState && state->second.target != 0 ? state->second.target : range.owner;
+        auto const server = std::ranges::lower_bound(servers, holder, {}, &PlacementServer::number);
+        if (server == servers.end() || server->number != holder)
+            continue;
+        server->load += baseLoad + (hasState ? state->second.load : 0);
+        ++server->ranges;
+    }
+    return std::move(servers);
+}
+
+void Coordinator::tick(Core::TimePoint now)
+{
+    for (auto const& [number, server] : state_.servers()) {
+        auto const found = servers_.find(number);
+        auto const lastBeat = found != servers_.end() && found->second.hasBeat ? found->second.lastBeat : startedAt_;
+        if (now - lastBeat > forgetAfter)
+            pending_.servers.removed.push_back(number);
+    }
+    plan(now);
+    if (now - lastBalance_ < balanceInterval)
+        return;
+    lastBalance_ = now;
+    updateLoads();
+    for (auto const& [name, pool] : state_.pools()) {
+        if (pool.item && pool.item->isKeyDivided)
+            balancePool(*pool.item, now);
+    }
+}
+
+void Coordinator::updateLoads()
+{
+    auto const seconds = std::chrono::duration<double>(balanceInterval).count();
+    for (auto& [pool, states] : ranges_) {
+        for (auto& [first, state] : states) {
+            auto const rate = state.arrivals / seconds;
+            state.load += loadSmoothing * (rate - state.load);
+            state.arrivals = 0;
+        }
+    }
+}
+
+void Coordinator::plan(Core::TimePoint now)
+{
+    for (auto const& [name, pool] : state_.pools()) {
+        if (pool.item && pool.item->isKeyDivided)
+            planPool(*pool.item, now);
+    }
+}
+
+/// Gives each range whose owner cannot keep it a next owner.
+void Coordinator::planPool(PoolItem const& pool, Core::TimePoint now)
+{
+    auto const keys = state_.keys(pool.name);
+    if (keys.empty()) {
+        layOut(pool, now);
+        return;
+    }
+    auto& soft = ranges_[pool.name];
+    std::optional<std::vector<PlacementServer>> servers;
+    auto const choose = [&](RangeState const& state) {
+        if (!servers)
+            servers = placementServers(pool.name, now);
+        auto const* const server = RangePlacement::choose(*servers, baseLoad + state.load);
+        return server ? server->number : ServerNumber { 0 };
+    };
+    for (auto const& range : keys) {
+        auto& state = soft[range.first];
+        if (state.isProposed)
+            continue;
+        auto const* const owner = state_.findServer(range.owner);
+        auto const isFree = range.owner == 0 || now >= leaseEnd(range.owner);
+        if (owner && !isFree && mayOwn(*owner, now)) {
+            // The target may have left since it was chosen.
+            auto const* const target = state_.findServer(state.target);
+            if (!state.isRevoked && state.target != 0 && (!target || !mayOwn(*target, now)))
+                state.target = 0;
+            if (!state.isRevoked || (target && mayOwn(*target, now)))
+                continue;
+            state.target = choose(state);
+            continue;
+        }
+        auto const* const target = state_.findServer(state.target);
+        if (state.target == 0 || !target || !mayOwn(*target, now) || state.target == range.owner)
+            state.target = choose(state);
+        if (isFree && state.target != 0)
+            propose(pool.name, range, state, state.target, {});
+    }
+}
+
+void Coordinator::layOut(PoolItem const& pool, Core::TimePoint now)
+{
+    auto const joined = lastJoin_.find(pool.name);
+    if (joined == lastJoin_.end() || now - joined->second < settleTime)
+        return;
+    auto servers = placementServers(pool.name, now);
+    auto assignments = RangePlacement::layOut(pool.name, servers);
+    for (auto& assignment : assignments) {
+        auto& state = ranges_[pool.name][assignment.first];
+        if (std::exchange(state.isProposed, true))
+            return;
+        pending_.assignments.push_back(std::move(assignment));
+    }
+}
+
+void Coordinator::balancePool(PoolItem const& pool, Core::TimePoint now)
+{
+    auto const keys = state_.keys(pool.name);
+    auto& soft = ranges_[pool.name];
+    std::vector<PlacementRange> movable;
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+        auto const& state = soft[keys[i].first];
+        if (state.target == 0 && !state.isProposed && state.isGranted && now - state.movedAt >= moveCooldown)
+            movable.push_back({ i, keys[i].owner, baseLoad + state.load });
+    }
+    auto servers = placementServers(pool.name, now);
+    for (auto const& move : RangePlacement::balance(servers, std::move(movable)))
+        soft[keys[move.index].first].target = move.to;
+}
+
+std::optional<Command> Coordinator::takeCommand()
+{
+    auto const isEmpty = pending_.assignments.empty() && pending_.servers.removed.empty();
+    if (isEmpty)
+        return std::nullopt;
+    return std::exchange(pending_, {});
+}
+
+std::vector<RangeRow> Coordinator::takeRows() { return std::exchange(rows_, {}); }
+
+std::vector<ServerNumber> Coordinator::takeColdChanges() { return std::exchange(coldChanges_, {}); }
+
+std::vector<RangeRow> Coordinator::allRows() const
+{
+    std::vector<RangeRow> rows;
+    for (auto const& [pool, states] : ranges_) {
+        for (auto const& range : state_.keys(pool)) {
+            auto const state = states.find(range.first);
+            auto const owner = state == states.end() ? 0 : state->second.published;
+            rows.push_back({ pool, range.first, range.last, owner, Core::toMilliseconds(settings_.beatInterval) });
+        }
+    }
+    return rows;
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/Libraries/LibFleet/Model.h
@@ -0,0 +1,207 @@
+#pragma once
+
+#include <LibFleet/Json.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+/// The state of a fleet whose configuration is versioned by item and whose backend servers announce themselves, and
+/// the decisions of its control leader.
+namespace Fleet {
+
+/// What may be done with a request whose outcome is unknown.
+enum class RequestKind : std::uint8_t {
+    /// Idempotent: may be sent again.
+    Safe,
+    /// May run once at most.
+    Unsafe,
+    /// Like `Unsafe`, with a large body.
+    Upload,
+};
+NLOHMANN_JSON_SERIALIZE_ENUM(RequestKind,
+    { { RequestKind::Safe, "safe" }, { RequestKind::Unsafe, "unsafe" }, { RequestKind::Upload, "upload" } })
+
+struct PoolShare {
+    Core::PoolName pool;
+    double weight { 1 };
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolShare, pool, weight)
+
+struct RouteItem {
+    Core::RouteName name;
+    std::uint64_t version { 0 };
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string prefix;
+    RequestKind kind { RequestKind::Unsafe };
+    /// The longest that a caller is kept waiting.
+    std::int64_t timeoutMs { 0 };
+    /// Within this time an answer is worth most.
+    std::int64_t targetLatencyMs { 0 };
+    /// Zero is the most urgent.
+    std::int32_t priority { 0 };
+    /// Backend servers that one request may be sent to.
+    std::uint32_t maxAttempts { 1 };
+    std::vector<PoolShare> shares;
+    /// The item as the operator sent it, for reading it back.
+    std::string document;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
+    RouteItem, name, version, host, prefix, kind, timeoutMs, targetLatencyMs, priority, maxAttempts, shares, document)
+
+struct PoolItem {
+    Core::PoolName name;
+    std::uint64_t version { 0 };
+    /// Connections that one backend server accepts from all callers together.
+    std::uint32_t maxConnections { 0 };
+    /// How long a backend server stays cold after its start.
+    std::int64_t warmupMs { 0 };
+    /// Requests a second that a cold backend server bears.
+    double warmupPerSecond { 0 };
+    /// Each key is served by the one backend server that holds it.
+    bool isKeyDivided { false };
+    std::string document;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
+    PoolItem, name, version, maxConnections, warmupMs, warmupPerSecond, isKeyDivided, document)
+
+/// What callers may send. Version zero: none was set yet.
+struct LimitsItem {
+    std::uint64_t version { 0 };
+    std::uint32_t maxHeaderBytes { 16U * 1024 };
+    std::uint64_t maxBodyBytes { 64UL * 1024 * 1024 };
+    std::int64_t headerTimeoutMs { 3000 };
+    std::int64_t idleTimeoutMs { 15000 };
+    std::string document;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
+    LimitsItem, version, maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs, document)
+
+/// Drops the item of this name, if the version is above the one it has.
+struct Removal {
+    std::string name;
+    std::uint64_t version { 0 };
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Removal, name, version)
+
+struct ItemChange {
+    std::vector<RouteItem> routes;
+    std::vector<PoolItem> pools;
+    std::optional<LimitsItem> limits;
+    std::vector<Removal> removedRoutes;
+    std::vector<Removal> removedPools;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ItemChange, routes, pools, limits, removedRoutes, removedPools)
+
+/// Takes a failure domain out of service or back in.
+struct DomainChange {
+    Core::FailureDomain domain;
+    bool isEvacuated { false };
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DomainChange, domain, isEvacuated)
+
+/// Numbers each life of each backend server. Zero is none.
+using ServerNumber = std::uint32_t;
+
+/// One life of a backend server.
+struct ServerRecord {
+    ServerNumber number { 0 };
+    Core::ServerName name;
+    Core::Endpoint address;
+    Core::PoolName pool;
+    Core::FailureDomain domain;
+    /// Of the software that it runs.
+    std::string softwareVersion;
+    std::uint32_t slots { 1 };
+    /// Unix time in milliseconds at which this life began.
+    std::int64_t bornMs { 0 };
+    bool isDraining { false };
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
+    ServerRecord, number, name, address, pool, domain, softwareVersion, slots, bornMs, isDraining)
+
+struct ServerChange {
+    /// The number is assigned when the change is applied.
+    std::vector<ServerRecord> joined;
+    std::vector<ServerNumber> draining;
+    std::vector<ServerNumber> removed;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServerChange, joined, draining, removed)
+
+inline constexpr std::uint32_t keyCount = 65536;
+
+/// Gives the keys from `first` to `last` to a backend server, with a new fencing token.
+struct Assignment {
+    Core::PoolName pool;
+    std::uint32_t first { 0 };
+    std::uint32_t last { 0 };
+    ServerNumber owner { 0 };
+    /// From the previous owner. Without it the keys are slow for a while.
+    std::string handover;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Assignment, pool, first, last, owner, handover)
+
+/// One entry of the replicated log. Any part may be empty.
+struct Command {
+    std::optional<ItemChange> items;
+    std::optional<DomainChange> domain;
+    ServerChange servers;
+    std::vector<Assignment> assignments;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Command, items, domain, servers, assignments)
+
+/// Consecutive keys with one owner.
+struct KeyRange {
+    std::uint32_t first { 0 };
+    std::uint32_t last { 0 };
+    ServerNumber owner { 0 };
+    std::uint64_t fence { 0 };
+    std::string handover;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeyRange, first, last, owner, fence, handover)
+
+/// The content of an item, or nothing once it was dropped. The version is remembered either way.
+template <typename Item> struct Held {
+    std::uint64_t version { 0 };
+    std::optional<Item> item;
+};
+template <typename Item> void to_json(nlohmann::json& out, Held<Item> const& held)
+{
+    out = nlohmann::json { { "version", held.version }, { "item", held.item } };
+}
+template <typename Item> void from_json(nlohmann::json const& in, Held<Item>& held)
+{
+    in.at("version").get_to(held.version);
+    held.item = in.at("item").get<std::optional<Item>>();
+}
+
+/// A life that has left, so that a late heartbeat doesn't bring it back.
+struct Departed {
+    Core::ServerName name;
+    std::int64_t bornMs { 0 };
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Departed, name, bornMs)
+
+/// Encodes as CBOR.
+template <typename T> std::string encode(T const& value)
+{
+    auto const bytes = nlohmann::json::to_cbor(nlohmann::json(value));
+    return { bytes.begin(), bytes.end() };
+}
+
+/// Empty for bytes that are not such a value.
+template <typename T> std::optional<T> decode(std::string_view bytes)
+{
+    // The library reports a wrong type or a missing field only by an exception.
+    try {
+        return nlohmann::json::from_cbor(bytes.begin(), bytes.end()).get<T>();
+    } catch (nlohmann::json::exception const&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/Libraries/LibFleet/RangePlacement.cpp
@@ -0,0 +1,105 @@
+#include <LibFleet/RangePlacement.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace Fleet {
+
+namespace {
+
+    /// Ranges for each server of a small pool at the first assignment. More would fill the heartbeats, and a third of
+    /// the servers may leave before the rest reach their bound.
+    constexpr std::size_t rangesPerServer = 64;
+    /// The same for a large pool, where the sum over all servers is what the control leader and entry hosts hold.
+    constexpr std::size_t maxRanges = 8192;
+    /// A server above this multiple of the mean utilization gives ranges away.
+    constexpr double imbalanceLimit = 1.25;
+    /// A move must leave the receiver below this multiple of the mean.
+    constexpr double receiverLimit = 1.05;
+    /// Moves of one round. A moving range is not served for about a heartbeat interval.
+    constexpr std::size_t maxMovesPerRound = 24;
+
+    bool mayReceive(PlacementServer const& server) { return server.ranges < RangePlacement::maxRangesPerServer; }
+
+    double meanUtilization(std::span<PlacementServer const> servers)
+    {
+        double load = 0;
+        double capacity = 0;
+        for (auto const& server : servers) {
+            load += server.load;
+            capacity += server.capacity;
+        }
+        return capacity > 0 ? load / capacity : 0;
+    }
+
+} // namespace
+
+PlacementServer* RangePlacement::choose(std::span<PlacementServer> servers, double load)
+{
+    PlacementServer* best = nullptr;
+    double bestUtilization = 0;
+    for (auto& server : servers) {
+        if (!mayReceive(server))
+            continue;
+        auto const utilization = (server.load + load) / server.capacity;
+        if (!best || utilization < bestUtilization) {
+            best = &server;
+            bestUtilization = utilization;
+        }
+    }
+    if (best) {
+        best->load += load;
+        ++best->ranges;
+    }
+    return best;
+}
+
+std::vector<PlacementMove> RangePlacement::balance(
+    std::span<PlacementServer> servers, std::vector<PlacementRange> movable)
+{
+    std::vector<PlacementMove> moves;
+    auto const mean = meanUtilization(servers);
+    std::ranges::sort(movable, std::greater {}, &PlacementRange::load);
+    while (moves.size() < maxMovesPerRound && servers.size() > 1) {
+        auto const giver = std::ranges::max_element(servers, {}, &PlacementServer::utilization);
+        if (giver->utilization() <= mean * imbalanceLimit)
+            break;
+        auto const receiver = std::ranges::min_element(servers, {}, [](auto const& server) {
+            return mayReceive(server) ? server.utilization() : std::numeric_limits<double>::infinity();
+        });
+        // The largest range that fits: it relieves the giver with the fewest moves.
+        auto const fits = [&](PlacementRange const& range) {
+            return range.owner == giver->number
+                && (receiver->load + range.load) / receiver->capacity <= mean * receiverLimit;
+        };
+        auto const found = std::ranges::find_if(movable, fits);
+        if (found == movable.end() || !mayReceive(*receiver) || giver == receiver)
+            break;
+        giver->load -= found->load;
+        --giver->ranges;
+        receiver->load += found->load;
+        ++receiver->ranges;
+        moves.push_back({ found->index, receiver->number });
+        movable.erase(found);
+    }
+    return moves;
+}
+
+std::vector<Assignment> RangePlacement::layOut(Core::PoolName const& pool, std::span<PlacementServer> servers)
+{
+    std::vector<Assignment> assignments;
+    auto const count = std::min(servers.size() * rangesPerServer, maxRanges);
+    if (count == 0)
+        return assignments;
+    for (std::size_t i = 0; i < count; ++i) {
+        auto const first = static_cast<std::uint32_t>(i * keyCount / count);
+        auto const last = static_cast<std::uint32_t>((i + 1) * keyCount / count - 1);
+        auto const load = static_cast<double>(last - first + 1);
+        auto* const owner = choose(servers, load);
+        if (owner)
+            assignments.push_back({ pool, first, last, owner->number, {} });
+    }
+    return assignments;
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/Libraries/LibFleet/State.cpp
@@ -0,0 +1,244 @@
+#include <LibFleet/State.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace Fleet {
+
+namespace {
+
+    /// Departed lives that are remembered. At the design size 1,200 hosts are replaced a day.
+    constexpr std::size_t maxDeparted = 4096;
+
+    template <typename Item>
+    bool setItem(std::map<std::string, Held<Item>>& items, std::string const& name, Item const& item)
+    {
+        auto& held = items[name];
+        if (item.version <= held.version)
+            return false;
+        held = { item.version, item };
+        return true;
+    }
+
+    template <typename Item> bool removeItem(std::map<std::string, Held<Item>>& items, Removal const& removal)
+    {
+        auto& held = items[removal.name];
+        if (removal.version <= held.version)
+            return false;
+        held = { removal.version, std::nullopt };
+        return true;
+    }
+
+    /// Cuts the range that contains `key` so that one begins there, and returns its position.
+    std::size_t splitAt(std::vector<KeyRange>& ranges, std::uint32_t key)
+    {
+        auto const found = std::ranges::lower_bound(ranges, key, {}, &KeyRange::last);
+        auto const index = static_cast<std::size_t>(std::distance(ranges.begin(), found));
+        if (found == ranges.end() || found->first == key)
+            return index;
+        auto tail = *found;
+        found->last = key - 1;
+        tail.first = key;
+        ranges.insert(ranges.begin() + static_cast<std::ptrdiff_t>(index) + 1, std::move(tail));
+        return index + 1;
+    }
+
+} // namespace
+
+Applied State::apply(Command const& command)
+{
+    Applied applied;
+    if (command.items) {
+        applied.error = check(*command.items);
+        if (applied.error)
+            return applied;
+        apply(*command.items, applied);
+    }
+    if (command.domain) {
+        if (command.domain->isEvacuated)
+            evacuated_.insert(command.domain->domain.value);
+        else
+            evacuated_.erase(command.domain->domain.value);
+    }
+    apply(command.servers, applied);
+    for (auto const& assignment : command.assignments) {
+        // The owner may have left while the command was under way; the range stays with its previous owner.
+        if (assignment.owner != 0 && !servers_.contains(assignment.owner))
+            continue;
+        apply(assignment);
+        applied.assignments.push_back(assignment);
+    }
+    return applied;
+}
+
+std::optional<ChangeError> State::check(ItemChange const& change) const
+{
+    for (auto const& route : change.routes) {
+        for (auto const& share : route.shares) {
+            auto const isNew
+                = std::ranges::any_of(change.pools, [&](auto const& pool) { return pool.name == share.pool; });
+            if (!isNew && !pools_.contains(share.pool.value))
+                return UnknownPool { route.name, share.pool };
+        }
+    }
+    return std::nullopt;
+}
+
+void State::apply(ItemChange const& change, Applied& applied)
+{
+    for (auto const& pool : change.pools) {
+        if (setItem(pools_, pool.name.value, pool))
+            applied.pools.push_back(pool.name);
+    }
+    for (auto const& route : change.routes) {
+        if (setItem(routes_, route.name.value, route))
+            applied.routes.push_back(route.name);
+    }
+    for (auto const& removal : change.removedRoutes) {
+        if (removeItem(routes_, removal))
+            applied.routes.push_back({ removal.name });
+    }
+    for (auto const& removal : change.removedPools) {
+        if (removeItem(pools_, removal))
+            applied.pools.push_back({ removal.name });
+    }
+    auto const hasNewLimits = change.limits && change.limits->version > limits_.version;
+    if (hasNewLimits)
+        limits_ = *change.limits;
+    applied.hasChangedItems = hasNewLimits || !applied.routes.empty() || !applied.pools.empty();
+}
+
+void State::apply(ServerChange const& change, Applied& applied)
+{
+    for (auto const& record : change.joined)
+        join(record, applied);
+    for (auto const number : change.draining) {
+        auto const found = servers_.find(number);
+        if (found == servers_.end())
+            continue;
+        found->second.isDraining = true;
+        applied.changedServers.push_back(number);
+    }
+    for (auto const number : change.removed)
+        remove(number, applied);
+}
+
+void State::join(ServerRecord record, Applied& applied)
+{
+    // A newer life of the same server, or another server at its address, proves that the earlier process has ended.
+    std::vector<ServerNumber> ended;
+    for (auto const& [number, other] : servers_) {
+        if (other.name != record.name && other.address != record.address)
+            continue;
+        if (other.bornMs >= record.bornMs)
+            return;
+        ended.push_back(number);
+    }
+    for (auto const number : ended) {
+        disown(number);
+        remove(number, applied);
+    }
+    record.number = nextServer_++;
+    applied.joined.push_back(record.number);
+    servers_.emplace(record.number, std::move(record));
+}
+
+void State::remove(ServerNumber number, Applied& applied)
+{
+    auto const found = servers_.find(number);
+    if (found == servers_.end())
+        return;
+    departed_.push_back({ found->second.name, found->second.bornMs });
+    if (departed_.size() > maxDeparted)
+        departed_.erase(departed_.begin());
+    servers_.erase(found);
+    applied.removedServers.push_back(number);
+}
+
+void State::disown(ServerNumber number)
+{
+    for (auto& [pool, ranges] : keys_) {
+        for (auto& range : ranges) {
+            if (range.owner == number)
+                range.owner = 0;
+        }
+    }
+}
+
+void State::apply(Assignment const& assignment)
+{
+    auto& ranges = keys_[assignment.pool.value];
+    if (ranges.empty())
+        ranges.push_back({ 0, keyCount - 1, 0, 0, {} });
+    auto const begin = splitAt(ranges, assignment.first);
+    auto const end = splitAt(ranges, assignment.last + 1);
+    if (begin >= end)
+        return;
+    ranges.erase(
+        ranges.begin() + static_cast<std::ptrdiff_t>(begin) + 1, ranges.begin() + static_cast<std::ptrdiff_t>(end));
+    ranges[begin] = { assignment.first, assignment.last, assignment.owner, nextFence_++, assignment.handover };
+}
+
+ServerRecord const* State::findServer(ServerNumber number) const
+{
+    auto const found = servers_.find(number);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+ServerRecord const* State::findServer(Core::ServerName const& name) const
+{
+    auto const found = std::ranges::find_if(servers_, [&](auto const& entry) { return entry.second.name == name; });
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+bool State::hasDeparted(Core::ServerName const& name, std::int64_t bornMs) const
+{
+    return std::ranges::any_of(departed_, [&](auto const& life) { return life.name == name && life.bornMs >= bornMs; });
+}
+
+PoolItem const* State::findPool(Core::PoolName const& name) const
+{
+    auto const found = pools_.find(name.value);
+    return found == pools_.end() || !found->second.item ? nullptr : &*found->second.item;
+}
+
+std::span<KeyRange const> State::keys(Core::PoolName const& pool) const
+{
+    auto const found = keys_.find(pool.value);
+    if (found == keys_.end())
+        return {};
+    return found->second;
+}
+
+void to_json(nlohmann::json& out, State const& state)
+{
+    out = nlohmann::json { { "routes", state.routes_ }, { "pools", state.pools_ }, { "limits", state.limits_ },
+        { "evacuated", state.evacuated_ }, { "servers", state.servers_ }, { "nextServer", state.nextServer_ },
+        { "departed", state.departed_ }, { "keys", state.keys_ }, { "nextFence", state.nextFence_ } };
+}
+
+void from_json(nlohmann::json const& in, State& state)
+{
+    in.at("routes").get_to(state.routes_);
+    in.at("pools").get_to(state.pools_);
+    in.at("limits").get_to(state.limits_);
+    in.at("evacuated").get_to(state.evacuated_);
+    in.at("servers").get_to(state.servers_);
+    in.at("nextServer").get_to(state.nextServer_);
+    in.at("departed").get_to(state.departed_);
+    in.at("keys").get_to(state.keys_);
+    in.at("nextFence").get_to(state.nextFence_);
+}
+
+std::string State::snapshot() const { return encode(*this); }
+
+bool State::restore(std::string_view bytes)
+{
+    auto decoded = decode<State>(bytes);
+    if (!decoded)
+        return false;
+    *this = std::move(*decoded);
+    return true;
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/Libraries/LibFleet/View.cpp
@@ -0,0 +1,171 @@
+#include <LibFleet/View.h>
+
+#include <algorithm>
+
+namespace Fleet {
+
+namespace {
+
+    template <typename Item>
+    void mergeItems(std::map<std::string, Held<Item>>& items, std::span<std::string const> names,
+        std::span<Held<Item> const> updates)
+    {
+        for (std::size_t i = 0; i < std::min(names.size(), updates.size()); ++i) {
+            auto& held = items[names[i]];
+            if (updates[i].version > held.version)
+                held = updates[i];
+        }
+    }
+
+    template <typename Item>
+    void addItem(std::map<std::string, Held<Item>> const& items, std::string const& name,
+        std::vector<std::string>& names, std::vector<Held<Item>>& updates)
+    {
+        auto const found = items.find(name);
+        if (found == items.end())
+            return;
+        names.push_back(name);
+        updates.push_back(found->second);
+        // Entry hosts have no use for the text that the operator reads back.
+        if (updates.back().item)
+            updates.back().item->document.clear();
+    }
+
+} // namespace
+
+bool ViewUpdate::isEmpty() const
+{
+    return !isWhole && routes.empty() && pools.empty() && !limits && !evacuated && servers.empty()
+        && removedServers.empty() && ranges.empty() && !quarantined && entryHosts == 0;
+}
+
+void addServer(
+    ViewUpdate& update, State const& state, Coordinator const& coordinator, ServerNumber number, Core::TimePoint now)
+{
+    auto const* const server = state.findServer(number);
+    if (server)
+        update.servers.push_back({ *server, Core::toMilliseconds(coordinator.coldLeft(number, now)) });
+}
+
+ViewUpdate wholeView(State const& state, Coordinator const& coordinator, Core::TimePoint now, std::uint32_t entryHosts)
+{
+    ViewUpdate update;
+    update.isWhole = true;
+    for (auto const& [name, held] : state.routes())
+        addItem(state.routes(), name, update.routeNames, update.routes);
+    for (auto const& [name, held] : state.pools())
+        addItem(state.pools(), name, update.poolNames, update.pools);
+    if (state.limits().version > 0)
+        update.limits = state.limits();
+    update.evacuated = state.evacuated();
+    for (auto const& [number, server] : state.servers())
+        addServer(update, state, coordinator, number, now);
+    update.ranges = coordinator.allRows();
+    update.quarantined = coordinator.quarantined(now);
+    update.entryHosts = entryHosts;
+    return update;
+}
+
+void addChanges(ViewUpdate& update, State const& state, Coordinator const& coordinator, Command const& command,
+    Applied const& applied, Core::TimePoint now)
+{
+    for (auto const& name : applied.routes)
+        addItem(state.routes(), name.value, update.routeNames, update.routes);
+    for (auto const& name : applied.pools)
+        addItem(state.pools(), name.value, update.poolNames, update.pools);
+    if (command.items && command.items->limits)
+        update.limits = state.limits();
+    if (command.domain)
+        update.evacuated = state.evacuated();
+    for (auto const number : applied.joined)
+        addServer(update, state, coordinator, number, now);
+    for (auto const number : applied.changedServers)
+        addServer(update, state, coordinator, number, now);
+    std::ranges::copy(applied.removedServers, std::back_inserter(update.removedServers));
+}
+
+std::vector<ServerNumber> View::apply(ViewUpdate const& update, Core::TimePoint now)
+{
+    std::vector<ServerNumber> gone = update.removedServers;
+    mergeItems<RouteItem>(routes_, update.routeNames, update.routes);
+    mergeItems<PoolItem>(pools_, update.poolNames, update.pools);
+    if (update.limits && update.limits->version > limits_.version)
+        limits_ = *update.limits;
+    if (!update.routes.empty()) {
+        isConfigured_ = true;
+        indexRoutes();
+    }
+    if (update.evacuated)
+        evacuated_ = *update.evacuated;
+    if (update.isWhole) {
+        for (auto const& [number, server] : servers_) {
+            if (std::ranges::none_of(update.servers, [&](auto const& row) { return row.server.number == number; }))
+                gone.push_back(number);
+        }
+        servers_.clear();
+        ranges_.clear();
+    }
+    for (auto const& row : update.servers)
+        servers_[row.server.number] = { row.server, now + std::chrono::milliseconds(row.coldMs) };
+    for (auto const number : update.removedServers)
+        servers_.erase(number);
+    for (auto const& row : update.ranges)
+        ranges_[row.pool][row.first] = { row.last, { row.owner, now + std::chrono::milliseconds(row.waitMs) } };
+    if (update.quarantined)
+        quarantined_ = { update.quarantined->begin(), update.quarantined->end() };
+    if (update.entryHosts > 0)
+        entryHosts_ = update.entryHosts;
+    return gone;
+}
+
+void View::indexRoutes()
+{
+    routesByHost_.clear();
+    for (auto const& [name, held] : routes_) {
+        if (held.item)
+            routesByHost_[held.item->host].push_back(&*held.item);
+    }
+    for (auto& [host, routes] : routesByHost_)
+        std::ranges::sort(routes, std::greater {}, [](auto const* route) { return route->prefix.size(); });
+}
+
+RouteItem const* View::findRoute(std::string_view host, std::string_view path) const
+{
+    auto const routes = routesByHost_.find(host);
+    if (routes == routesByHost_.end())
+        return nullptr;
+    auto const found
+        = std::ranges::find_if(routes->second, [&](auto const* route) { return path.starts_with(route->prefix); });
+    return found == routes->second.end() ? nullptr : *found;
+}
+
+PoolItem const* View::findPool(Core::PoolName const& name) const
+{
+    auto const found = pools_.find(name.value);
+    return found == pools_.end() || !found->second.item ? nullptr : &*found->second.item;
+}
+
+ViewServer const* View::findServer(ServerNumber number) const
+{
+    auto const found = servers_.find(number);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+bool View::mayServe(ServerRecord const& server) const
+{
+    return !server.isDraining && !evacuated_.contains(server.domain.value);
+}
+
+KeyOwner const* View::findOwner(Core::PoolName const& pool, std::uint32_t key) const
+{
+    auto const ranges = ranges_.find(pool);
+    if (ranges == ranges_.end() || ranges->second.empty())
+        return nullptr;
+    auto const next = ranges->second.upper_bound(key);
+    if (next == ranges->second.begin())
+        return nullptr;
+    auto const& [last, owner] = std::prev(next)->second;
+    return key <= last ? &owner : nullptr;
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/Libraries/LibFleet/View.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibFleet/Coordinator.h>
+
+#include <span>
+#include <unordered_map>
+
+namespace Fleet {
+
+/// A backend server as entry hosts need to know it.
+struct ServerRow {
+    ServerRecord server;
+    /// How much longer it stays cold.
+    std::int64_t coldMs { 0 };
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServerRow, server, coldMs)
+
+/// What the control leader tells an entry host: everything at first, then what has changed.
+struct ViewUpdate {
+    /// Takes the place of all servers and ranges; items are merged by their versions.
+    bool isWhole { false };
+    std::vector<Held<RouteItem>> routes;
+    std::vector<std::string> routeNames;
+    std::vector<Held<PoolItem>> pools;
+    std::vector<std::string> poolNames;
+    std::optional<LimitsItem> limits;
+    std::optional<std::set<std::string>> evacuated;
+    std::vector<ServerRow> servers;
+    std::vector<ServerNumber> removedServers;
+    std::vector<RangeRow> ranges;
+    std::optional<std::vector<std::string>> quarantined;
+    /// Entry hosts that share the bounds of the fleet, zero for unchanged.
+    std::uint32_t entryHosts { 0 };
+
+    bool isEmpty() const;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewUpdate, isWhole, routes, routeNames, pools, poolNames, limits, evacuated,
+    servers, removedServers, ranges, quarantined, entryHosts)
+
+ViewUpdate wholeView(State const&, Coordinator const&, Core::TimePoint now, std::uint32_t entryHosts);
+/// Adds what a command changed.
+void addChanges(ViewUpdate&, State const&, Coordinator const&, Command const&, Applied const&, Core::TimePoint now);
+void addServer(ViewUpdate&, State const&, Coordinator const&, ServerNumber, Core::TimePoint now);
+
+/// A backend server in the view of an entry host.
+struct ViewServer {
+    ServerRecord record;
+    Core::TimePoint coldUntil;
+};
+
+/// The owner of a key.
+struct KeyOwner {
+    ServerNumber server { 0 };
+    /// When an owner is expected, if there is none.
+    Core::TimePoint expectedAt;
+};
+
+/// The routing state of an entry host. Versions of items never go back.
+class View {
+public:
+    /// Returns the servers that are no longer part of the view.
+    std::vector<ServerNumber> apply(ViewUpdate const&, Core::TimePoint now);
+
+    /// Whether any configuration has arrived.
+    bool isConfigured() const { return isConfigured_; }
+    /// The route with the longest prefix that begins the path. Null when none does.
+    RouteItem const* findRoute(std::string_view host, std::string_view path) const;
+    PoolItem const* findPool(Core::PoolName const&) const;
+    LimitsItem const& limits() const { return limits_; }
+    ViewServer const* findServer(ServerNumber) const;
+    std::map<ServerNumber, ViewServer> const& servers() const { return servers_; }
+    /// Neither draining nor in a failure domain that is out of service.
+    bool mayServe(ServerRecord const&) const;
+    /// Null while the pool's keys were never assigned.
+    KeyOwner const* findOwner(Core::PoolName const&, std::uint32_t key) const;
+    bool isQuarantined(std::string const& fingerprint) const { return quarantined_.contains(fingerprint); }
+    /// At least one.
+    std::uint32_t entryHosts() const { return std::max(entryHosts_, 1U); }
+
+private:
+    void indexRoutes();
+
+    bool isConfigured_ { false };
+    std::map<std::string, Held<RouteItem>> routes_;
+    std::map<std::string, Held<PoolItem>> pools_;
+    /// Routes of each host, the longest prefix first.
+    std::map<std::string, std::vector<RouteItem const*>, std::less<>> routesByHost_;
+    LimitsItem limits_;
+    std::set<std::string> evacuated_;
+    std::map<ServerNumber, ViewServer> servers_;
+    /// By the first key of the range.
+    std::map<Core::PoolName, std::map<std::uint32_t, std::pair<std::uint32_t, KeyOwner>>> ranges_;
+    std::set<std::string> quarantined_;
+    std::uint32_t entryHosts_ { 1 };
+};
+
+} // namespace Fleet
--- /dev/null
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -0,0 +1,72 @@
+#include <LibGateway/EntryHost.h>
+#include <LibGateway/Exchange.h>
+
+namespace Gateway {
+
+using Telemetry::EventId;
+
+namespace {
+
+    constexpr Core::Duration reportInterval = std::chrono::milliseconds(500);
+    /// A balancer that asks once a second and needs two refusals has noticed by then.
+    constexpr Core::Duration balancerDelay = std::chrono::milliseconds(2600);
+    constexpr Core::Duration stopCheckInterval = std::chrono::milliseconds(50);
+    /// Kept from the grace, so that the process ends by itself.
+    constexpr Core::Duration stopMargin = std::chrono::milliseconds(600);
+
+} // namespace
+
+EntryHost::EntryHost(
+    Net::EventLoop& loop, Telemetry::EventLog& events, RequestCodec const& codec, EntryHostSettings settings)
+    : loop_(loop)
+    , events_(events)
+    , settings_(std::move(settings))
+    , gateway_(loop, events, codec, settings_.gateway)
+    , link_(loop, events, *this, settings_.name, settings_.controlHosts)
+{
+    sendReport();
+}
+
+EntryHost::~EntryHost()
+{
+    loop_.cancel(reportTimer_);
+    loop_.cancel(stopTimer_);
+}
+
+void EntryHost::onView(Fleet::ViewUpdate const& update) { gateway_.apply(update); }
+
+void EntryHost::sendReport()
+{
+    reportTimer_ = loop_.after(reportInterval, [this] { sendReport(); });
+    auto const report = gateway_.takeReport();
+    if (!report.arrivals.empty() || !report.latencies.empty() || !report.suspicions.empty())
+        link_.report(report);
+    events_.reportSuppressed();
+}
+
+void EntryHost::beginStop()
+{
+    if (std::exchange(isStopping_, true))
+        return;
+    stopBegan_ = loop_.now();
+    events_.write(EventId::ProcessStopping, { { "connections", gateway_.connectionCount() } });
+    gateway_.startDraining();
+    continueStop();
+}
+
+void EntryHost::continueStop()
+{
+    auto const elapsed = loop_.now() - stopBegan_;
+    if (elapsed >= balancerDelay)
+        gateway_.closeIdleConnections();
+    auto const isDone = elapsed >= balancerDelay && gateway_.connectionCount() == 0;
+    if (isDone || elapsed >= settings_.stopGrace - stopMargin) {
+        if (!isDone)
+            events_.write(EventId::ShutdownGraceExceeded, { { "requests", gateway_.requestCount() } });
+        loop_.stop();
+        return;
+    }
+    stopTimer_ = loop_.after(stopCheckInterval, [this] { continueStop(); });
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -0,0 +1,412 @@
+#include <LibCore/Hash.h>
+#include <LibGateway/Exchange.h>
+#include <LibProxy/HeaderRules.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace Gateway {
+
+using Telemetry::EventId;
+
+namespace {
+
+    constexpr std::uint16_t statusNotFound = 404;
+    constexpr std::uint16_t statusBadRequest = 400;
+    constexpr std::uint16_t statusBadGateway = 502;
+    constexpr std::uint16_t statusUnavailable = 503;
+    constexpr std::uint16_t statusGatewayTimeout = 504;
+    /// The answer of a server that does not have the key, or is not the one that was addressed.
+    constexpr std::uint16_t statusMisdirected = 421;
+
+    /// A server answers for itself when the time that it was given is over; its answer gets this long to arrive.
+    constexpr Core::Duration deadlineGrace = std::chrono::milliseconds(60);
+    /// An owner that is late by more than this beyond the expected time is not waited for.
+    constexpr Core::Duration ownerGrace = std::chrono::milliseconds(400);
+    /// How long an entry host waits for news of an owner that refused a key as not its own.
+    constexpr Core::Duration misdirectedWait = std::chrono::milliseconds(150);
+    /// Pause before a request is sent again to the only server that may run it.
+    constexpr Core::Duration sameServerPause = std::chrono::milliseconds(40);
+    /// When a caller should come back if nothing better is known.
+    constexpr Core::Duration defaultRetryAfter = std::chrono::milliseconds(250);
+    /// Sends of one request, those that a server refused included.
+    constexpr std::uint32_t maxSends = 3;
+    /// A server in another failure domain is chosen only if it is faster by this much: bytes between them cost.
+    constexpr Core::Duration otherDomainPenalty = std::chrono::milliseconds(12);
+    /// Random part of the comparison of servers, so that entry hosts do not all choose the same one.
+    constexpr double choiceNoise = 0.2;
+
+    std::string formatSeconds(Core::Duration duration)
+    {
+        std::array<char, 32> text {};
+        auto const length
+            = std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(duration).count());
+        return { text.data(), static_cast<std::size_t>(length) };
+    }
+
+    std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+} // namespace
+
+Exchange::Exchange(Gateway& gateway, Net::ExchangeId id, Net::HttpRequest request)
+    : gateway_(gateway)
+    , id_(id)
+    , request_(std::move(request))
+{
+}
+
+Exchange::~Exchange()
+{
+    gateway_.loop_.cancel(deadlineTimer_);
+    gateway_.loop_.cancel(waitTimer_);
+}
+
+void Exchange::start()
+{
+    if (!readTerms())
+        return;
+    deadlineTimer_ = gateway_.loop_.after(left() + deadlineGrace, [this] { onDeadline(); });
+    place();
+}
+
+/// False if the request was answered already.
+bool Exchange::readTerms()
+{
+    if (!gateway_.view_.isConfigured()) {
+        refuse("no-configuration", defaultRetryAfter);
+        return false;
+    }
+    terms_ = gateway_.codec_.readRequest(request_.head);
+    auto const host = request_.head.find("Host").value_or("");
+    auto const* const route = gateway_.view_.findRoute(host, pathOf(request_.head.target));
+    if (!route) {
+        fail(statusNotFound, "no-route");
+        return false;
+    }
+    route_ = route->name;
+    kind_ = route->kind;
+    priority_ = route->priority;
+    maxAttempts_ = std::max(route->maxAttempts, 1U);
+    auto patience = Core::Duration(std::chrono::milliseconds(route->timeoutMs));
+    if (terms_.timeLeft)
+        patience = std::min(patience, *terms_.timeLeft);
+    deadline_ = request_.startedAt + patience;
+    auto const* const share = gateway_.splits_[route_].choose(route->shares);
+    if (!share) {
+        refuse("no-pool", defaultRetryAfter);
+        return false;
+    }
+    pool_ = share->pool;
+    gateway_.retriesOf(pool_).countRequest(gateway_.loop_.now());
+    if (gateway_.view_.isQuarantined(fingerprint())) {
+        refuse("quarantined", defaultRetryAfter);
+        return false;
+    }
+    return true;
+}
+
+std::string Exchange::fingerprint() const
+{
+    auto const digest = Core::digest128(request_.head.method + " " + request_.head.target + "\n" + request_.body);
+    return Core::RequestId { digest.high, digest.low }.toString();
+}
+
+void Exchange::place()
+{
+    isWaiting_ = false;
+    gateway_.loop_.cancel(waitTimer_);
+    auto const* const pool = gateway_.view_.findPool(pool_);
+    if (!pool) {
+        refuse("pool-dropped", defaultRetryAfter);
+        return;
+    }
+    if (left() <= Core::Duration::zero()) {
+        onDeadline();
+        return;
+    }
+    if (pool->isKeyDivided)
+        placeByKey(*pool);
+    else
+        placeAnywhere(*pool);
+}
+
+void Exchange::placeByKey(Fleet::PoolItem const& pool)
+{
+    if (!terms_.key) {
+        fail(statusBadRequest, "no-key");
+        return;
+    }
+    if (sends_ == 0 && waitTimer_.number == 0)
+        gateway_.countArrival(pool_, *terms_.key);
+    auto const* const owner = gateway_.view_.findOwner(pool_, *terms_.key);
+    auto const* const server = owner ? gateway_.view_.findServer(owner->server) : nullptr;
+    if (!server || !gateway_.view_.mayServe(server->record)) {
+        waitForOwner(owner ? owner->expectedAt : gateway_.loop_.now() + defaultRetryAfter);
+        return;
+    }
+    auto const& load = gateway_.loadOf(server->record);
+    if (load.isUnreachable(gateway_.loop_.now())) {
+        refuse("owner-unreachable", load.avoidUntil() - gateway_.loop_.now());
+        return;
+    }
+    if (!gateway_.passesColdGate(*server, pool)) {
+        refuse("owner-cold", defaultRetryAfter);
+        return;
+    }
+    auto const refusal = Admission::check({ left(), priority_, gateway_.random_.unit() }, load, gateway_.loop_.now());
+    if (refusal) {
+        refuse("owner-busy", refusal->retryAfter);
+        return;
+    }
+    if (!trySend(*server, pool))
+        refuse("owner-connections", defaultRetryAfter);
+}
+
+void Exchange::placeAnywhere(Fleet::PoolItem const& pool)
+{
+    auto const now = gateway_.loop_.now();
+    struct Candidate {
+        Fleet::ViewServer const* server;
+        double cost;
+    };
+    std::vector<Candidate> candidates;
+    for (auto const& [number, server] : gateway_.view_.servers()) {
+        if (server.record.pool != pool_ || !gateway_.view_.mayServe(server.record))
+            continue;
+        auto const& load = gateway_.loadOf(server.record);
+        if (load.isUnreachable(now) || std::ranges::count(tried_, number) > 0)
+            continue;
+        auto cost = load.expectedWait(now) + load.serviceTime();
+        if (server.record.domain != gateway_.settings_.failureDomain)
+            cost += otherDomainPenalty;
+        auto const noise = 1 + choiceNoise * gateway_.random_.unit();
+        candidates.push_back({ &server, static_cast<double>(cost.count()) * noise });
+    }
+    std::ranges::sort(candidates, {}, &Candidate::cost);
+    std::optional<Refusal> refusal;
+    for (auto const& candidate : candidates) {
+        auto const& load = gateway_.loadOf(candidate.server->record);
+        auto const refused = Admission::check({ left(), priority_, gateway_.random_.unit() }, load, now);
+        if (refused) {
+            if (!refusal)
+                refusal = refused;
+            continue;
+        }
+        if (gateway_.passesColdGate(*candidate.server, pool) && trySend(*candidate.server, pool))
+            return;
+    }
+    if (mayHaveRun_)
+        fail(statusBadGateway, "no-other-server");
+    else
+        refuse("no-server", refusal ? refusal->retryAfter : defaultRetryAfter);
+}
+
+bool Exchange::trySend(Fleet::ViewServer const& server, Fleet::PoolItem const& pool)
+{
+    OutgoingRequest outgoing;
+    outgoing.attemptId = terms_.attemptId;
+    outgoing.expectsNoBody = request_.head.method == "HEAD";
+    outgoing.isIdempotent = isSafe();
+    auto& bytes = outgoing.bytes;
+    bytes.append(request_.head.method).append(" ").append(request_.head.target).append(" HTTP/1.1\r\n");
+    auto forwarded = request_.head;
+    std::erase_if(forwarded.fields, [&](auto const& field) { return gateway_.codec_.isReplaced(field.name); });
+    Proxy::appendForwardedFields(bytes, forwarded);
+    for (auto const& field : gateway_.codec_.addressTo(server.record.name, left()))
+        Proxy::appendField(bytes, field.name, field.value);
+    if (!request_.body.empty() || request_.head.contentLength || request_.head.isChunked)
+        Proxy::appendField(bytes, "Content-Length", std::to_string(request_.body.size()));
+    bytes.append("\r\n").append(request_.body);
+    auto& load = gateway_.loadOf(server.record);
+    wasIdleAtSend_ = load.occupancy(gateway_.loop_.now()) + 1 <= load.slots();
+    link_ = gateway_.links_.send(server.record, outgoing, gateway_.connectionShare(pool), *this);
+    if (!link_)
+        return false;
+    load.onSent();
+    ++sends_;
+    server_ = server.record.number;
+    sentAt_ = gateway_.loop_.now();
+    tried_.push_back(server_);
+    return true;
+}
+
+void Exchange::waitForOwner(Core::TimePoint expectedAt)
+{
+    auto const now = gateway_.loop_.now();
+    auto const latest = std::min(expectedAt + ownerGrace, deadline_ - std::chrono::milliseconds(50));
+    if (expectedAt > deadline_ || latest <= now) {
+        refuse("no-owner", std::max(expectedAt - now, defaultRetryAfter));
+        return;
+    }
+    isWaiting_ = true;
+    waitTimer_ = gateway_.loop_.after(latest - now, [this] {
+        waitTimer_ = {};
+        isWaiting_ = false;
+        refuse("no-owner", defaultRetryAfter);
+    });
+}
+
+void Exchange::onViewChanged()
+{
+    if (!isWaiting_)
+        return;
+    auto const* const owner = gateway_.view_.findOwner(pool_, terms_.key.value_or(0));
+    if (!owner || !gateway_.view_.findServer(owner->server))
+        return;
+    place();
+}
+
+void Exchange::onAnswer(Net::HttpAnswer answer, AnswerTerms const& terms)
+{
+    auto const elapsed = gateway_.loop_.now() - sentAt_;
+    link_ = nullptr;
+    if (auto const* const server = gateway_.view_.findServer(server_)) {
+        auto& load = gateway_.loadOf(server->record);
+        load.onDone();
+        load.onReachable();
+        if (terms.load)
+            load.onReport(*terms.load, gateway_.loop_.now());
+        auto const hasQueued = !wasIdleAtSend_ || (terms.load && terms.load->waiting > 0);
+        if (!terms.isNotRun && !hasQueued) {
+            load.onServiceTime(elapsed);
+            gateway_.countLatency(server_, elapsed);
+        }
+    }
+    if (terms.isNotRun || answer.head.status == statusMisdirected) {
+        if (!mayHaveRun_) {
+            onNotRun(terms);
+            return;
+        }
+        fail(statusBadGateway, "refused-after-unknown-send");
+        return;
+    }
+    relay(std::move(answer));
+}
+
+void Exchange::onNotRun(AnswerTerms const&)
+{
+    auto const* const pool = gateway_.view_.findPool(pool_);
+    auto const isKeyed = pool && pool->isKeyDivided;
+    auto const pause = isKeyed ? misdirectedWait : Core::Duration::zero();
+    if (left() > pause + sameServerPause && mayTryAgain()) {
+        if (!isKeyed) {
+            place();
+            return;
+        }
+        isWaiting_ = false;
+        waitTimer_ = gateway_.loop_.after(sameServerPause, [this] { place(); });
+        return;
+    }
+    refuse("refused-by-server", defaultRetryAfter);
+}
+
+bool Exchange::mayTryAgain()
+{
+    std::set<Fleet::ServerNumber> const servers(tried_.begin(), tried_.end());
+    if (sends_ >= maxSends || servers.size() > maxAttempts_)
+        return false;
+    auto const* const pool = gateway_.view_.findPool(pool_);
+    // The next send of a pool that is not divided by key goes to a server that was not tried.
+    if (pool && !pool->isKeyDivided && servers.size() >= maxAttempts_)
+        return false;
+    return gateway_.mayRepeat(pool_);
+}
+
+void Exchange::onFailure(Net::ExchangeFailure failure)
+{
+    link_ = nullptr;
+    auto const now = gateway_.loop_.now();
+    auto const* const server = gateway_.view_.findServer(server_);
+    if (server)
+        gateway_.loadOf(server->record).onDone();
+    gateway_.events_.write(EventId::RequestOutcomeUnknown,
+        { { "request", terms_.attemptId }, { "route", route_.value },
+            { "server", server ? server->record.name.value : "" }, { "failure", Net::toString(failure) },
+            { "afterMs", Core::toMilliseconds(now - sentAt_) } });
+    if (failure == Net::ExchangeFailure::NotConnected) {
+        // Nothing was sent.
+        --sends_;
+        if (server)
+            gateway_.loadOf(server->record).onUnreachable(now);
+        place();
+        return;
+    }
+    gateway_.suspicions_.push_back({ fingerprint(), server_ });
+    mayHaveRun_ = true;
+    if (isSafe() && left() > sameServerPause && mayTryAgain()) {
+        waitTimer_ = gateway_.loop_.after(sameServerPause, [this] { place(); });
+        return;
+    }
+    fail(statusBadGateway, Net::toString(failure));
+}
+
+void Exchange::relay(Net::HttpAnswer answer)
+{
+    Net::HttpResponse response;
+    response.status = answer.head.status;
+    response.reason = answer.head.reason;
+    std::string text;
+    auto const connectionFields = answer.head.find("Connection").value_or("");
+    for (auto& field : answer.head.fields) {
+        if (!Proxy::isHopByHop(field.name, connectionFields))
+            response.fields.push_back(std::move(field));
+    }
+    response.body = std::move(answer.body);
+    ++gateway_.counters_.answered;
+    respond(response);
+}
+
+void Exchange::refuse(std::string_view reason, Core::Duration retryAfter)
+{
+    if (mayHaveRun_) {
+        fail(statusBadGateway, reason);
+        return;
+    }
+    gateway_.events_.write(EventId::RequestRejected,
+        { { "request", terms_.attemptId }, { "route", route_.value }, { "reason", reason },
+            { "key", terms_.key.value_or(0) }, { "leftMs", Core::toMilliseconds(left()) },
+            { "retryAfterMs", Core::toMilliseconds(retryAfter) } });
+    ++gateway_.counters_.refused;
+    Net::HttpResponse response;
+    response.status = statusUnavailable;
+    response.fields.push_back({ "Retry-After", formatSeconds(std::max(retryAfter, Core::Duration::zero())) });
+    respond(response);
+}
+
+void Exchange::fail(std::uint16_t status, std::string_view reason)
+{
+    gateway_.events_.write(EventId::RequestRejected,
+        { { "request", terms_.attemptId }, { "route", route_.value }, { "reason", reason }, { "status", status } });
+    ++gateway_.counters_.failed;
+    Net::HttpResponse response;
+    response.status = status;
+    respond(response);
+}
+
+void Exchange::onDeadline()
+{
+    deadlineTimer_ = {};
+    if (!link_) {
+        refuse("deadline", defaultRetryAfter);
+        return;
+    }
+    if (auto const* const server = gateway_.view_.findServer(server_))
+        gateway_.loadOf(server->record).onDone();
+    gateway_.links_.abandon(std::exchange(link_, nullptr));
+    fail(statusGatewayTimeout, "deadline");
+}
+
+void Exchange::abandon()
+{
+    ++gateway_.counters_.abandoned;
+    if (!link_)
+        return;
+    if (auto const* const server = gateway_.view_.findServer(server_))
+        gateway_.loadOf(server->record).onDone();
+    gateway_.links_.abandon(std::exchange(link_, nullptr));
+}
+
+void Exchange::respond(Net::HttpResponse const& response) { gateway_.finish(id_, response); }
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/Exchange.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <LibGateway/Admission.h>
+#include <LibGateway/Gateway.h>
+
+namespace Gateway {
+
+/// One request of a caller, from its arrival to its answer.
+///
+/// A refusal (503) is given only while the request is at no server: nothing was sent, or the server said that it did
+/// not run it. Once a send has an unknown outcome, an unsafe request ends with 502 or 504 and is never sent again.
+class Exchange final : public Net::Reclaimable, private LinkUser {
+public:
+    Exchange(Gateway&, Net::ExchangeId, Net::HttpRequest);
+    ~Exchange() override;
+
+    void start();
+    /// The caller has left.
+    void abandon();
+    /// The view has changed; a request that waits for an owner looks again.
+    void onViewChanged();
+
+private:
+    void onAnswer(Net::HttpAnswer, AnswerTerms const&) override;
+    void onFailure(Net::ExchangeFailure) override;
+
+    bool readTerms();
+    void place();
+    void placeByKey(Fleet::PoolItem const&);
+    void placeAnywhere(Fleet::PoolItem const&);
+    bool trySend(Fleet::ViewServer const&, Fleet::PoolItem const&);
+    void waitForOwner(Core::TimePoint expectedAt);
+    void onNotRun(AnswerTerms const&);
+    /// Whether another send is allowed after one that ended without a usable answer.
+    bool mayTryAgain();
+    void onDeadline();
+    void relay(Net::HttpAnswer);
+    void refuse(std::string_view reason, Core::Duration retryAfter);
+    void fail(std::uint16_t status, std::string_view reason);
+    void respond(Net::HttpResponse const&);
+    Core::Duration left() const { return deadline_ - gateway_.loop_.now(); }
+    bool isSafe() const { return kind_ == Fleet::RequestKind::Safe; }
+    std::string fingerprint() const;
+
+    Gateway& gateway_;
+    Net::ExchangeId id_;
+    Net::HttpRequest request_;
+    RequestTerms terms_;
+    Core::RouteName route_;
+    Core::PoolName pool_;
+    Fleet::RequestKind kind_ { Fleet::RequestKind::Unsafe };
+    std::int32_t priority_ { 0 };
+    std::uint32_t maxAttempts_ { 1 };
+    std::uint32_t sends_ { 0 };
+    Core::TimePoint deadline_;
+    /// Set while a request is at a server.
+    ServerLink* link_ { nullptr };
+    Fleet::ServerNumber server_ { 0 };
+    Core::TimePoint sentAt_;
+    bool wasIdleAtSend_ { false };
+    /// A send whose outcome is unknown: the request may have run.
+    bool mayHaveRun_ { false };
+    bool isWaiting_ { false };
+    std::vector<Fleet::ServerNumber> tried_;
+    Net::EventLoop::TimerId deadlineTimer_;
+    Net::EventLoop::TimerId waitTimer_;
+};
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <LibCore/Random.h>
+#include <LibGateway/ColdGate.h>
+#include <LibGateway/PoolSplit.h>
+#include <LibGateway/RetryShare.h>
+#include <LibGateway/ServerLinks.h>
+#include <LibGateway/ServerLoad.h>
+#include <LibNet/HttpServer.h>
+#include <LibTelemetry/EventLog.h>
+
+namespace Gateway {
+
+class Exchange;
+
+struct GatewaySettings {
+    RetryBound retries;
+    /// A cold server bears its rate times the factor, plus the slack.
+    double coldFactor { 1.5 };
+    double coldSlack { 5 };
+    Core::FailureDomain failureDomain;
+};
+
+/// What became of the requests since the start, for the metrics.
+struct GatewayCounters {
+    std::uint64_t answered { 0 };
+    std::uint64_t refused { 0 };
+    std::uint64_t failed { 0 };
+    std::uint64_t abandoned { 0 };
+    std::uint64_t repeats { 0 };
+};
+
+/// The request path of one entry host. Used on the loop's thread.
+class Gateway final : public Net::HttpHandler {
+public:
+    Gateway(Net::EventLoop&, Telemetry::EventLog&, RequestCodec const&, GatewaySettings const&);
+    ~Gateway() override;
+
+    /// False when the address cannot be used; `errno` says why.
+    bool listen(Core::Endpoint const&);
+    void apply(Fleet::ViewUpdate const&);
+    bool isReady() const { return view_.isConfigured(); }
+    /// Answers close their connections from now on.
+    void startDraining();
+    void closeIdleConnections() { server_->closeIdle(); }
+    std::size_t connectionCount() const { return server_ ? server_->connectionCount() : 0; }
+    std::size_t requestCount() const { return exchanges_.size(); }
+    /// Arrivals, latencies and suspicions since the last report.
+    Fleet::LoadReport takeReport();
+    GatewayCounters const& counters() const { return counters_; }
+
+private:
+    friend class Exchange;
+
+    void onRequest(Net::ExchangeId, Net::HttpRequest) override;
+    void onAbandoned(Net::ExchangeId) override;
+    void finish(Net::ExchangeId, Net::HttpResponse const&);
+    ServerLoad& loadOf(Fleet::ServerRecord const&);
+    RetryShare& retriesOf(Core::PoolName const&);
+    bool mayRepeat(Core::PoolName const&);
+    bool passesColdGate(Fleet::ViewServer const&, Fleet::PoolItem const&);
+    std::size_t connectionShare(Fleet::PoolItem const&) const;
+    void countArrival(Core::PoolName const&, std::uint32_t key);
+    void countLatency(Fleet::ServerNumber, Core::Duration);
+
+    Net::EventLoop& loop_;
+    Telemetry::EventLog& events_;
+    RequestCodec const& codec_;
+    GatewaySettings settings_;
+    Core::Random random_;
+    Fleet::View view_;
+    std::map<Fleet::ServerNumber, ServerLoad> loads_;
+    std::map<Fleet::ServerNumber, ColdGate> coldGates_;
+    std::map<Core::PoolName, RetryShare> retries_;
+    std::map<Core::RouteName, PoolSplit> splits_;
+    std::map<std::pair<Core::PoolName, std::uint32_t>, std::uint32_t> arrivals_;
+    std::map<Fleet::ServerNumber, Fleet::LoadReport::Latency> latencies_;
+    std::vector<Fleet::LoadReport::Suspicion> suspicions_;
+    GatewayCounters counters_;
+    ServerLinks links_;
+    std::map<Net::ExchangeId, std::unique_ptr<Exchange>> exchanges_;
+    std::unique_ptr<Net::HttpServer> server_;
+};
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -0,0 +1,60 @@
+#include <LibGateway/ServerLoad.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Gateway {
+
+namespace {
+
+    /// A report counts for half after this time; about the time in which a server works off a full queue.
+    constexpr std::chrono::duration<double> reportHalfLife { 0.4 };
+    constexpr double serviceTimeSmoothing = 0.2;
+    /// Requests at a server for each of its slots. A server refuses, or never answers, what its own queue cannot take,
+    /// and all entry hosts fill that queue without seeing each other.
+    constexpr double maxOccupancyPerSlot = 3.0;
+    constexpr Core::Duration firstAvoidance = std::chrono::milliseconds(200);
+    constexpr std::uint32_t maxDoublings = 3;
+
+} // namespace
+
+void ServerLoad::onReport(ServerLoadReport const& report, Core::TimePoint now)
+{
+    if (report.slots > 0)
+        slots_ = report.slots;
+    othersAtReport_ = std::max(0.0, static_cast<double>(report.running) + report.waiting - inFlight_);
+    reportedAt_ = now;
+}
+
+void ServerLoad::onServiceTime(Core::Duration time)
+{
+    auto const difference = static_cast<double>((time - serviceTime_).count()) * serviceTimeSmoothing;
+    serviceTime_ += Core::Duration(static_cast<Core::Duration::rep>(difference));
+}
+
+void ServerLoad::onUnreachable(Core::TimePoint now)
+{
+    avoidUntil_ = now + firstAvoidance * (1U << std::min(failures_, maxDoublings));
+    ++failures_;
+}
+
+double ServerLoad::occupancy(Core::TimePoint now) const
+{
+    auto const age = std::chrono::duration<double>(now - reportedAt_);
+    return inFlight_ + othersAtReport_ * std::exp2(-age / reportHalfLife);
+}
+
+Core::Duration ServerLoad::expectedWait(Core::TimePoint now) const
+{
+    auto const ahead = occupancy(now) + 1 - slots_;
+    if (ahead <= 0)
+        return {};
+    return std::chrono::duration_cast<Core::Duration>(serviceTime_ * (ahead / slots_));
+}
+
+bool ServerLoad::hasRoom(Core::TimePoint now, double reserved) const
+{
+    return occupancy(now) + 1 <= maxOccupancyPerSlot * slots_ - reserved;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -0,0 +1,185 @@
+#include <LibNet/HttpClient.h>
+
+#include <array>
+#include <charconv>
+
+namespace Net {
+
+namespace {
+
+    constexpr std::size_t bodyChunkBytes = 16UL * 1024;
+    constexpr std::uint16_t firstFinalStatus = 200;
+
+    /// The value of `timeout` in a `Keep-Alive` header, in whole seconds.
+    std::optional<Core::Duration> parseKeepAlive(std::string_view value)
+    {
+        constexpr std::string_view key = "timeout=";
+        auto const at = value.find(key);
+        if (at == std::string_view::npos)
+            return std::nullopt;
+        auto const digits = value.substr(at + key.size());
+        unsigned seconds = 0;
+        if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc {})
+            return std::nullopt;
+        return std::chrono::seconds(seconds);
+    }
+
+} // namespace
+
+std::string_view toString(ExchangeFailure failure)
+{
+    switch (failure) {
+    case ExchangeFailure::NotConnected:
+        return "not-connected";
+    case ExchangeFailure::NoAnswer:
+        return "no-answer";
+    case ExchangeFailure::Truncated:
+        return "truncated";
+    case ExchangeFailure::Malformed:
+        return "malformed";
+    case ExchangeFailure::AnswerTooLarge:
+        break;
+    }
+    return "answer-too-large";
+}
+
+HttpClient::HttpClient(
+    EventLoop& loop, HttpClientHandler& handler, Core::Endpoint const& server, HttpClientSettings const& settings)
+    : loop_(loop)
+    , handler_(handler)
+    , settings_(settings)
+    , stream_(loop, *this, server, settings.stream)
+    , lastUsed_(loop.now())
+{
+}
+
+void HttpClient::send(std::string_view bytes, bool expectsNoBody)
+{
+    isBusy_ = true;
+    expectsNoBody_ = expectsNoBody;
+    lastUsed_ = loop_.now();
+    reader_ = std::nullopt;
+    hasHead_ = false;
+    body_.clear();
+    stream_.write(bytes);
+}
+
+void HttpClient::onData(Stream&)
+{
+    if (!isBusy_) {
+        isReusable_ = false;
+        stream_.close();
+        handler_.onIdleEnd(*this);
+        return;
+    }
+    while (isBusy_ && stream_.isOpen() && !stream_.input().isEmpty()) {
+        if (!readAnswer())
+            return;
+    }
+}
+
+/// Reads one message as far as it has arrived. False when more input is needed or the exchange has failed.
+bool HttpClient::readAnswer()
+{
+    if (!reader_) {
+        reader_.emplace(Proxy::MessageKind::Response, settings_.maxHeadBytes);
+        if (expectsNoBody_)
+            reader_->expectNoBody();
+    }
+    if (!hasHead_) {
+        auto const isComplete = reader_->readHead(stream_.input());
+        if (isComplete.isError()) {
+            fail(ExchangeFailure::Malformed);
+            return false;
+        }
+        if (!isComplete.value())
+            return false;
+        hasHead_ = true;
+    }
+    std::array<char, bodyChunkBytes> chunk {};
+    while (!reader_->isDone()) {
+        auto const produced = reader_->readBody(stream_.input(), chunk);
+        if (produced.isError()) {
+            fail(ExchangeFailure::Malformed);
+            return false;
+        }
+        if (produced.value() == 0)
+            break;
+        body_.append(chunk.data(), produced.value());
+        if (body_.size() > settings_.maxBodyBytes) {
+            fail(ExchangeFailure::AnswerTooLarge);
+            return false;
+        }
+    }
+    if (!reader_->isDone()) {
+        stream_.resume();
+        return false;
+    }
+    finishAnswer();
+    return true;
+}
+
+void HttpClient::finishAnswer()
+{
+    HttpAnswer answer { reader_->head(), std::move(body_) };
+    body_.clear();
+    reader_ = std::nullopt;
+    hasHead_ = false;
+    if (answer.head.status < firstFinalStatus)
+        return;
+    noteKeepAlive(answer.head);
+    if (!handler_.isExpected(*this, answer.head)) {
+        // The next message answers the request. The connection has lost its order, so it is not used again.
+        isReusable_ = false;
+        return;
+    }
+    if (!answer.head.keepsAlive || !stream_.input().isEmpty())
+        isReusable_ = false;
+    isBusy_ = false;
+    ++completed_;
+    lastUsed_ = loop_.now();
+    stream_.input().releaseMemory();
+    handler_.onAnswer(*this, std::move(answer));
+}
+
+void HttpClient::noteKeepAlive(Proxy::MessageHead const& head)
+{
+    if (auto const value = head.find("Keep-Alive"))
+        idleTimeout_ = parseKeepAlive(*value);
+}
+
+void HttpClient::fail(ExchangeFailure failure)
+{
+    isReusable_ = false;
+    isBusy_ = false;
+    stream_.close();
+    handler_.onFailure(*this, failure);
+}
+
+void HttpClient::onEnd(Stream&, StreamEnd reason)
+{
+    if (!isBusy_) {
+        isReusable_ = false;
+        handler_.onIdleEnd(*this);
+        return;
+    }
+    if (reason == StreamEnd::NotConnected) {
+        fail(ExchangeFailure::NotConnected);
+        return;
+    }
+    if (!hasHead_) {
+        fail(ExchangeFailure::NoAnswer);
+        return;
+    }
+    // Only an orderly end completes an answer that has no length.
+    if (reason == StreamEnd::EndOfStream && reader_->finishAtEndOfStream()) {
+        isReusable_ = false;
+        finishAnswer();
+        if (isBusy_)
+            fail(ExchangeFailure::NoAnswer);
+        return;
+    }
+    fail(ExchangeFailure::Truncated);
+}
+
+} // namespace Net
--- /dev/null
+++ b/Libraries/LibNet/HttpClient.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <LibNet/Stream.h>
+#include <LibProxy/HttpMessage.h>
+
+namespace Net {
+
+/// Why an exchange with a server has no answer.
+enum class ExchangeFailure : std::uint8_t {
+    /// No connection came about, so nothing was sent.
+    NotConnected,
+    /// The connection ended before any byte of an answer.
+    NoAnswer,
+    /// The answer ended before it was complete.
+    Truncated,
+    /// What came is not an answer in the protocol.
+    Malformed,
+    AnswerTooLarge,
+};
+
+std::string_view toString(ExchangeFailure);
+
+struct HttpAnswer {
+    Proxy::MessageHead head;
+    std::string body;
+};
+
+class HttpClient;
+
+class HttpClientHandler {
+public:
+    virtual ~HttpClientHandler() = default;
+    /// A whole message arrived. True if it answers the request that waits; false for another one, which is skipped.
+    virtual bool isExpected(HttpClient&, Proxy::MessageHead const&) = 0;
+    /// The connection can carry another request if `HttpClient::isReusable`.
+    virtual void onAnswer(HttpClient&, HttpAnswer) = 0;
+    virtual void onFailure(HttpClient&, ExchangeFailure) = 0;
+    /// An idle connection ended, or received bytes that belong to no request.
+    virtual void onIdleEnd(HttpClient&) = 0;
+};
+
+struct HttpClientSettings {
+    StreamSettings stream;
+    std::uint32_t maxHeadBytes { 64U * 1024 };
+    /// Larger answers are refused, since an answer is held until it is complete.
+    std::size_t maxBodyBytes { 16UL * 1024 * 1024 };
+};
+
+/// A connection to a server for one request at a time.
+class HttpClient final : private StreamHandler, public Reclaimable {
+public:
+    HttpClient(EventLoop&, HttpClientHandler&, Core::Endpoint const&, HttpClientSettings const&);
+
+    /// Sends a request. `expectsNoBody` for the method HEAD.
+    void send(std::string_view bytes, bool expectsNoBody);
+    bool isBusy() const { return isBusy_; }
+    bool hasSent() const { return stream_.isConnected(); }
+    /// The server keeps the connection open and nothing unexpected arrived on it.
+    bool isReusable() const { return isReusable_ && stream_.isOpen(); }
+    /// How long the server keeps an idle connection, if it says so.
+    std::optional<Core::Duration> announcedIdleTimeout() const { return idleTimeout_; }
+    Core::TimePoint lastUsed() const { return lastUsed_; }
+    std::uint64_t completedExchanges() const { return completed_; }
+
+private:
+    void onData(Stream&) override;
+    void onEnd(Stream&, StreamEnd) override;
+    bool readAnswer();
+    void finishAnswer();
+    void fail(ExchangeFailure);
+    void noteKeepAlive(Proxy::MessageHead const&);
+
+    EventLoop& loop_;
+    HttpClientHandler& handler_;
+    HttpClientSettings settings_;
+    Stream stream_;
+    bool isBusy_ { false };
+    bool isReusable_ { true };
+    bool expectsNoBody_ { false };
+    bool hasHead_ { false };
+    std::optional<Proxy::MessageReader> reader_;
+    std::string body_;
+    std::optional<Core::Duration> idleTimeout_;
+    Core::TimePoint lastUsed_;
+    std::uint64_t completed_ { 0 };
+};
+
+} // namespace Net
--- /dev/null
+++ b/Libraries/LibNet/HttpServer.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <LibNet/Stream.h>
+#include <LibProxy/HttpMessage.h>
+
+#include <unordered_map>
+
+namespace Net {
+
+/// Names one exchange of one connection, so that an answer may come after the connection is gone.
+struct ExchangeId {
+    std::uint64_t connection { 0 };
+    std::uint64_t exchange { 0 };
+
+    auto operator<=>(ExchangeId const&) const = default;
+};
+
+struct HttpRequest {
+    Proxy::MessageHead head;
+    std::string body;
+    /// When the first byte of the request was read.
+    Core::TimePoint startedAt;
+};
+
+struct HttpResponse {
+    std::uint16_t status { 200 };
+    /// Empty for the usual phrase of the status.
+    std::string reason;
+    std::vector<Proxy::HeaderField> fields;
+    std::string body;
+    /// The caller is told that the connection closes, and it does.
+    bool closes { false };
+};
+
+/// Bounds on what a caller may send and how long it may take.
+struct HttpLimits {
+    std::uint32_t maxHeadBytes { 16U * 1024 };
+    std::uint64_t maxBodyBytes { 1UL * 1024 * 1024 };
+    /// From the first byte of a request to the end of its head.
+    Core::Duration headTimeout { std::chrono::seconds(3) };
+    Core::Duration idleTimeout { std::chrono::seconds(15) };
+};
+
+/// What a server does with requests.
+class HttpHandler {
+public:
+    virtual ~HttpHandler() = default;
+    /// Answered by `HttpServer::respond`, at once or later.
+    virtual void onRequest(ExchangeId, HttpRequest) = 0;
+    /// The caller left before its answer.
+    virtual void onAbandoned(ExchangeId) { }
+};
+
+/// Serves HTTP/1.1 on one address. Requests are read whole before they are handed over, one at a time a connection.
+class HttpServer {
+public:
+    /// Null when the address cannot be used; `errno` says why.
+    static std::unique_ptr<HttpServer> open(EventLoop&, Core::Endpoint const&, HttpHandler&);
+    ~HttpServer();
+    HttpServer(HttpServer const&) = delete;
+    HttpServer& operator=(HttpServer const&) = delete;
+
+    void setLimits(HttpLimits const& limits) { limits_ = limits; }
+    /// Does nothing if the caller is gone.
+    void respond(ExchangeId, HttpResponse const&);
+    /// From now on every answer closes its connection.
+    void startDraining() { isDraining_ = true; }
+    /// Closes connections that wait for no answer and have sent nothing of a request.
+    void closeIdle();
+    std::size_t connectionCount() const { return connections_.size(); }
+    /// Bytes of request bodies that are being read or answered.
+    std::uint64_t heldBodyBytes() const { return heldBodyBytes_; }
+
+private:
+    class Connection;
+    friend class Connection;
+
+    HttpServer(EventLoop&, HttpHandler&);
+    void accept(int fd);
+    void drop(std::uint64_t connection);
+
+    EventLoop& loop_;
+    HttpHandler& handler_;
+    HttpLimits limits_;
+    bool isDraining_ { false };
+    std::uint64_t heldBodyBytes_ { 0 };
+    std::uint64_t nextConnection_ { 1 };
+    std::unique_ptr<Listener> listener_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+};
+
+/// The usual phrase of a status code; "Status" for others.
+std::string_view reasonPhrase(std::uint16_t status);
+
+} // namespace Net
--- a/Libraries/LibProxy/HeaderRules.cpp
+++ b/Libraries/LibProxy/HeaderRules.cpp
@@ -56,6 +56,11 @@
     text.append(name).append(": ").append(value).append("\r\n");
 }
 
+bool isHopByHop(std::string_view name, std::string_view connection)
+{
+    return isListed(hopByHopFields, name) || isNominated(connection, name);
+}
+
 void appendForwardedFields(std::string& text, MessageHead const& head)
 {
     auto const isNominatedField = [&](std::string_view name) {
--- a/Libraries/LibProxy/HeaderRules.h
+++ b/Libraries/LibProxy/HeaderRules.h
@@ -13,6 +13,9 @@
 
 void appendField(std::string& text, std::string_view name, std::string_view value);
 
+/// Whether a field concerns one connection only. `connection` is the value of the Connection field.
+bool isHopByHop(std::string_view name, std::string_view connection);
+
 /// Appends the fields that go on to the next hop: neither hop-by-hop fields nor those that this hop sets itself.
 void appendForwardedFields(std::string& text, MessageHead const& head);
 
--- a/Libraries/LibProxy/InputBuffer.cpp
+++ b/Libraries/LibProxy/InputBuffer.cpp
@@ -19,6 +19,13 @@
     return result;
 }
 
+std::span<char> InputBuffer::prepare(std::size_t bytes)
+{
+    makeRoom();
+    auto const room = std::span(storage_).subspan(end_);
+    return room.first(std::min(bytes, room.size()));
+}
+
 void InputBuffer::releaseMemory()
 {
     if (isEmpty())
--- a/Libraries/LibProxy/InputBuffer.h
+++ b/Libraries/LibProxy/InputBuffer.h
@@ -20,6 +20,9 @@
     bool isFull() const { return end_ - begin_ >= limit_; }
     void consume(std::size_t bytes);
     IoResult receiveFrom(Socket&);
+    /// Room for up to `bytes` more; what was written there counts after `commit`.
+    std::span<char> prepare(std::size_t bytes);
+    void commit(std::size_t bytes) { end_ += bytes; }
     /// Gives the memory back while nothing is stored, so that an idle connection holds none.
     void releaseMemory();
 
--- a/Services/Daemon/StorageThread.cpp
+++ b/Libraries/LibStorage/StorageThread.cpp
@@ -1,12 +1,12 @@
-#include "StorageThread.h"
+#include <LibStorage/StorageThread.h>
 
 #include <algorithm>
 #include <iterator>
 
-namespace Daemon {
+namespace Storage {
 
-StorageThread::StorageThread(Rpc::EventLoop& loop, std::unique_ptr<Storage::Store> store, Completion completion)
-    : loop_(loop)
+StorageThread::StorageThread(Poster post, std::unique_ptr<Store> store, Completion completion)
+    : post_(std::move(post))
     , store_(std::move(store))
     , completion_(std::move(completion))
     , thread_([this] { run(); })
@@ -46,8 +46,8 @@
         auto const begin = Core::BootClock::now();
         auto result = store_->persist(batch);
         auto const took = Core::BootClock::now() - begin;
-        loop_.post([this, result = std::move(result), took] { completion_(result, took); });
+        post_([this, result = std::move(result), took] { completion_(result, took); });
     }
 }
 
-} // namespace Daemon
+} // namespace Storage
--- a/Services/Daemon/StorageThread.h
+++ b/Libraries/LibStorage/StorageThread.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <LibConsensus/Actions.h>
-#include <LibRpc/EventLoop.h>
 #include <LibStorage/Store.h>
 
 #include <condition_variable>
@@ -10,18 +9,19 @@
 #include <mutex>
 #include <thread>
 
-/// The thin shell of primroseshiftd: threads, sockets and files around the decision libraries.
-namespace Daemon {
+namespace Storage {
 
 /// Writes to the store on a thread of its own, so that a slow disk does not block heartbeats. Requests that queue up
 /// during one write share the next fsync.
 class StorageThread {
 public:
-    using Completion
-        = std::function<void(Core::Result<Consensus::PersistSequence, Storage::StoreError>, Core::Duration)>;
+    using Completion = std::function<void(Core::Result<Consensus::PersistSequence, StoreError>, Core::Duration)>;
 
-    /// `completion` runs on the loop's thread after each write, with the time that the write took.
-    StorageThread(Rpc::EventLoop&, std::unique_ptr<Storage::Store>, Completion completion);
+    /// Runs a function on the thread that owns this object.
+    using Poster = std::function<void(std::function<void()>)>;
+
+    /// `completion` is posted after each write, with the time that the write took.
+    StorageThread(Poster, std::unique_ptr<Store>, Completion completion);
     /// Finishes the queued writes.
     ~StorageThread();
     StorageThread(StorageThread const&) = delete;
@@ -32,8 +32,8 @@
 private:
     void run();
 
-    Rpc::EventLoop& loop_;
-    std::unique_ptr<Storage::Store> store_;
+    Poster post_;
+    std::unique_ptr<Store> store_;
     Completion completion_;
     std::mutex mutex_;
     std::condition_variable wake_;
@@ -42,4 +42,4 @@
     std::thread thread_;
 };
 
-} // namespace Daemon
+} // namespace Storage
--- a/Libraries/LibTelemetry/Event.cpp
+++ b/Libraries/LibTelemetry/Event.cpp
@@ -22,6 +22,7 @@
         PRIMROSESHIFT_EVENT(SettingsRejected, Error, "The settings file has errors.", "Correct the named lines; `primroseshiftctl check` checks offline."),
         PRIMROSESHIFT_EVENT(ListenerFailed, Error, "A listener could not be opened.", "Check that the address exists and the port is free."),
         PRIMROSESHIFT_EVENT(ShutdownGraceExceeded, Error, "Requests were still running at the end of shutdown-grace and were aborted.", "Raise shutdown-grace or look for hanging backend servers."),
+        PRIMROSESHIFT_EVENT(SettingsReloaded, Info, "The settings file has changed and was read again.", "None."),
         PRIMROSESHIFT_EVENT(LeaderElected, Info, "This host became the control leader.", "None; frequent changes point at the network or a slow disk."),
         PRIMROSESHIFT_EVENT(LeadershipLost, Warning, "This host is no longer the control leader.", "Look for QuorumLost and PeerUnreachable."),
         PRIMROSESHIFT_EVENT(LeadershipTransferred, Info, "Leadership moved to another host on purpose.", "None."),
--- a/Libraries/LibTelemetry/Event.h
+++ b/Libraries/LibTelemetry/Event.h
@@ -19,6 +19,7 @@
     SettingsRejected = 103,
     ListenerFailed = 104,
     ShutdownGraceExceeded = 105,
+    SettingsReloaded = 106,
     // Consensus and storage: 200 to 299.
     LeaderElected = 200,
     LeadershipLost = 201,
--- a/Libraries/LibTelemetry/EventLog.cpp
+++ b/Libraries/LibTelemetry/EventLog.cpp
@@ -46,7 +46,7 @@
     {
         log4cplus::SharedAppenderPtr appender;
         if (settings.file.empty()) {
-            appender = new log4cplus::ConsoleAppender(true, true);
+            appender = new log4cplus::ConsoleAppender(!settings.usesStandardOutput, true);
         } else {
             auto const maxBytes
                 = static_cast<long>(std::min<std::uint64_t>(settings.maxFileBytes, std::numeric_limits<long>::max()));
--- a/Libraries/LibTelemetry/EventLog.h
+++ b/Libraries/LibTelemetry/EventLog.h
@@ -67,8 +67,9 @@
     /// Events below this level are not written.
     EventLevel level { EventLevel::Info };
     EventFormat format { EventFormat::Json };
-    /// Empty writes to standard error.
+    /// Empty writes to standard error, or to standard output if `usesStandardOutput`.
     std::string file;
+    bool usesStandardOutput { false };
     std::uint64_t maxFileBytes { 64ULL * 1024 * 1024 };
     std::uint32_t keptFiles { 5 };
     /// Lines of one event per interval; more are counted and the count is added to the next line of the event.
--- a/Services/Daemon/ControlNode.cpp
+++ b/Services/Daemon/ControlNode.cpp
@@ -69,8 +69,9 @@
     , crashes_(Policy::QuarantineSettings {})
     , node_(consensusSettings(settings), std::move(opened.state), Core::Random::fromSystemEntropy().next(),
           Core::BootClock::now())
-    , storage_(std::make_unique<StorageThread>(dependencies.loop, std::move(opened.store),
-          [this](auto const& result, Core::Duration took) { onPersisted(result, took); }))
+    , storage_(std::make_unique<Storage::StorageThread>(
+          [&loop = dependencies.loop](std::function<void()> function) { loop.post(std::move(function)); },
+          std::move(opened.store), [this](auto const& result, Core::Duration took) { onPersisted(result, took); }))
 {
     for (auto const& peer : settings.controlPeers)
         peers_.emplace(peer.name, peer.rpc);
--- a/Services/Daemon/ControlNode.h
+++ b/Services/Daemon/ControlNode.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include "StorageThread.h"
-
 #include <LibConfig/DaemonSettings.h>
 #include <LibConsensus/Node.h>
 #include <LibControl/Leader.h>
 #include <LibPolicy/CrashLedger.h>
 #include <LibRpc/Connections.h>
+#include <LibStorage/StorageThread.h>
 #include <LibTelemetry/EventLog.h>
 #include <LibTelemetry/Metrics.h>
 
@@ -105,7 +104,7 @@
     bool hadQuorum_ { false };
     std::optional<Core::TimePoint> reportedContact_;
     /// Last member: its thread calls back into this object.
-    std::unique_ptr<StorageThread> storage_;
+    std::unique_ptr<Storage::StorageThread> storage_;
 };
 
 } // namespace Daemon
--- a/Services/Daemon/Main.cpp
+++ b/Services/Daemon/Main.cpp
@@ -1,6 +1,7 @@
 #include "Daemon.h"
 
 #include <cxxopts.hpp>
+#include <platform/Roles.h>
 
 #include <csignal>
 #include <iostream>
@@ -14,6 +15,8 @@
 struct CommandLine {
     std::string settings;
     bool checksOnly { false };
+    /// The role on the users' platform; empty for the product's own settings.
+    std::string platformRole;
     Daemon::StartOptions start;
     /// Set when the process is to end at once.
     std::optional<int> exitCode;
@@ -25,8 +28,9 @@
     options.add_options()("c,config", "Settings file (INI)", cxxopts::value<std::string>())(
         "check-config", "Check the settings and exit")(
         "bootstrap", "Create the store of one of the first control hosts of a new cluster, then run")(
-        "join", "Create an empty store for a control host that joins an existing cluster, then run")(
-        "h,help", "Print this help")("version", "Print the version");
+        "join", "Create an empty store for a control host that joins an existing cluster, then run")("platform-role",
+        "Run the entry or control role on the users' platform, with the settings file of the platform",
+        cxxopts::value<std::string>())("h,help", "Print this help")("version", "Print the version");
     CommandLine line;
     try {
         auto const parsed = options.parse(argc, argv);
@@ -36,6 +40,8 @@
         } else if (parsed.count("version")) {
             std::cout << "primroseshiftd " PRIMROSESHIFT_VERSION "\n";
             line.exitCode = exitOk;
+        } else if (parsed.count("platform-role")) {
+            line.platformRole = parsed["platform-role"].as<std::string>();
         } else if (!parsed.count("config")) {
             std::cerr << "primroseshiftd: --config is required\n";
             line.exitCode = exitUsage;
@@ -90,6 +96,8 @@
     auto const line = parseCommandLine(argc, argv);
     if (line.exitCode)
         return *line.exitCode;
+    if (!line.platformRole.empty())
+        return Platform::run(line.platformRole);
     auto const settings = Config::loadDaemonSettings(line.settings);
     if (settings.isError()) {
         for (auto const& error : settings.error())
