Cancel an exchange's deadline timer whichever way its deadline is noticed

A request whose time was over when it was placed called onDeadline directly, which forgot the armed timer; it then ran on a destroyed exchange. Found by a backtrace from a signal handler in a trial build: runTimers -> onDeadline -> freed memory. Change: onDeadline no longer drops the id, an exchange cancels its timers when it ends, connections shut down when dropped, and the loop tolerates objects handed over while it destroys others.

--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -56,11 +56,7 @@
 {
 }
 
-Exchange::~Exchange()
-{
-    gateway_.loop_.cancel(deadlineTimer_);
-    gateway_.loop_.cancel(waitTimer_);
-}
+Exchange::~Exchange() { cancelTimers(); }
 
 void Exchange::start()
 {
@@ -386,7 +382,6 @@
 
 void Exchange::onDeadline()
 {
-    deadlineTimer_ = {};
     if (!link_) {
         refuse("deadline", defaultRetryAfter);
         return;
@@ -399,6 +394,7 @@
 
 void Exchange::abandon()
 {
+    cancelTimers();
     ++gateway_.counters_.abandoned;
     if (!link_)
         return;
@@ -407,6 +403,17 @@
     gateway_.links_.abandon(std::exchange(link_, nullptr));
 }
 
-void Exchange::respond(Net::HttpResponse const& response) { gateway_.finish(id_, response); }
+void Exchange::respond(Net::HttpResponse const& response)
+{
+    cancelTimers();
+    gateway_.finish(id_, response);
+}
+
+/// An exchange lives until the end of the turn in which it ended; none of its timers may run in that turn.
+void Exchange::cancelTimers()
+{
+    gateway_.loop_.cancel(deadlineTimer_);
+    gateway_.loop_.cancel(waitTimer_);
+}
 
 } // namespace Gateway
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -38,6 +38,7 @@
     void refuse(std::string_view reason, Core::Duration retryAfter);
     void fail(std::uint16_t status, std::string_view reason);
     void respond(Net::HttpResponse const&);
+    void cancelTimers();
     Core::Duration left() const { return deadline_ - gateway_.loop_.now(); }
     bool isSafe() const { return kind_ == Fleet::RequestKind::Safe; }
     std::string fingerprint() const;
--- a/Libraries/LibNet/EventLoop.cpp
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -151,7 +151,8 @@
         }
         runPosted();
         runTimers();
-        reclaimed_.clear();
+        // Destructors may hand over further objects.
+        auto const reclaimed = std::exchange(reclaimed_, {});
     }
 }
 
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -56,6 +56,13 @@
         releaseBody();
     }
 
+    /// No event follows, although the object lives until the end of the turn.
+    void shutDown()
+    {
+        server_.loop_.cancel(timer_);
+        stream_.close();
+    }
+
     bool isIdle() { return phase_ == Phase::Head && !hasStarted_ && stream_.input().isEmpty(); }
 
     void respond(std::uint64_t exchange, HttpResponse const& response)
@@ -278,8 +285,10 @@
 void HttpServer::drop(std::uint64_t connection)
 {
     auto node = connections_.extract(connection);
-    if (!node.empty())
-        loop_.reclaim(std::move(node.mapped()));
+    if (node.empty())
+        return;
+    node.mapped()->shutDown();
+    loop_.reclaim(std::move(node.mapped()));
 }
 
 void HttpServer::respond(ExchangeId id, HttpResponse const& response)
