--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -255,10 +255,12 @@
     }
     publish();
     channel.send(makeFrame(FrameType::Leader, hint()));
-    entryChannels_.insert(&channel);
+    entryChannels_[&channel] = hello.entryHost;
     events_.write(EventId::EntryHostJoined, { { "entry", hello.entryHost } });
-    channel.send(makeFrame(
-        FrameType::View, Fleet::wholeView(replica_.state(), *coordinator_, loop_.now(), sharingEntryHosts())));
+    auto view = Fleet::wholeView(replica_.state(), *coordinator_, loop_.now());
+    if (!sharing_.empty())
+        view.entryHosts = sharing_;
+    channel.send(makeFrame(FrameType::View, view));
 }
 
 void ControlHost::onJoin(Net::FrameChannel& channel, JoinRequest const& request)
@@ -294,13 +296,14 @@
     if (isLeading) {
         coordinator_ = std::make_unique<Fleet::Coordinator>(replica_.state(), settings_.coordinator, loop_.now());
         leadingSince_ = loop_.now();
-        sharing_ = 0;
+        sharing_.clear();
+        entryHosts_.clear();
         return;
     }
     coordinator_.reset();
     joiners_.clear();
     // Entry hosts look for the new leader at once.
-    for (auto* const channel : std::exchange(entryChannels_, {})) {
+    for (auto const& [channel, name] : std::exchange(entryChannels_, {})) {
         channel->send(makeFrame(FrameType::Leader, hint()));
         channel->close();
         onClosed(*channel);
@@ -338,21 +341,26 @@
         return;
     auto const frame = makeFrame(FrameType::View, update_);
     update_ = {};
-    for (auto* const channel : entryChannels_) {
+    for (auto const& [channel, name] : entryChannels_) {
         if (channel->pendingBytes() <= maxPendingBytes)
             channel->send(frame);
     }
 }
 
-std::uint32_t ControlHost::sharingEntryHosts()
+void ControlHost::countEntryHosts()
 {
     auto const now = loop_.now();
-    auto const present = static_cast<std::uint32_t>(entryChannels_.size());
-    if (present >= sharing_ || now - sharingSince_ > sharingMemory) {
-        sharing_ = present;
-        sharingSince_ = now;
-    }
-    return now - leadingSince_ < sharingDelay ? 0 : sharing_;
+    for (auto const& [channel, name] : entryChannels_)
+        entryHosts_[name] = now;
+    std::erase_if(entryHosts_, [&](auto const& entry) { return now - entry.second > sharingMemory; });
+    if (now - leadingSince_ < sharingDelay)
+        return;
+    std::vector<std::string> names;
+    std::ranges::transform(entryHosts_, std::back_inserter(names), [](auto const& entry) { return entry.first; });
+    if (names == sharing_)
+        return;
+    sharing_ = names;
+    update_.entryHosts = std::move(names);
 }
 
 void ControlHost::tick()
@@ -366,10 +374,7 @@
         return;
     coordinator_->tick(now);
     submitDecisions();
-    auto const before = sharing_;
-    auto const sharing = sharingEntryHosts();
-    if (sharing != 0 && (sharing != before || now - leadingSince_ < sharingDelay + 2 * tickInterval))
-        update_.entryHosts = sharing;
+    countEntryHosts();
     publish();
     superviseMembers();
 }
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -73,7 +73,7 @@
     void tick();
     void askToJoin();
     void superviseMembers();
-    std::uint32_t sharingEntryHosts();
+    void countEntryHosts();
 
     Net::EventLoop& loop_;
     Telemetry::EventLog& events_;
@@ -84,7 +84,11 @@
     /// To other control hosts, by address.
     std::map<Core::Endpoint, std::unique_ptr<Net::FrameChannel>> outgoing_;
     std::vector<std::unique_ptr<Net::FrameChannel>> incoming_;
-    std::set<Net::FrameChannel*> entryChannels_;
+    /// The entry hosts by their channels.
+    std::map<Net::FrameChannel*, std::string> entryChannels_;
+    /// When each entry host was last seen. Those that were lost still share the bounds for a while.
+    std::map<std::string, Core::TimePoint> entryHosts_;
+    std::vector<std::string> sharing_;
     std::map<Core::HostName, Joiner> joiners_;
     /// Present while this host leads.
     std::unique_ptr<Fleet::Coordinator> coordinator_;
@@ -96,9 +100,6 @@
     Core::TimePoint lastJoin_;
     std::size_t nextSeed_ { 0 };
     std::optional<Core::Endpoint> hintedLeader_;
-    /// The number of entry hosts that the bounds are shared by, and when it was last as high.
-    std::uint32_t sharing_ { 0 };
-    Core::TimePoint sharingSince_;
     Net::EventLoop::TimerId timer_;
 };
 
--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -28,7 +28,7 @@
     /// The answer to a heartbeat has at most 4 KiB; its frame needs a little.
     constexpr std::size_t maxGrantBytes = 3900;
     /// Length of a range in that answer without its handover text.
-    constexpr std::size_t bytesPerRange = 30;
+    constexpr std::size_t bytesPerRange = 25;
     /// A crash counts against a request if the server's end is confirmed within this time.
     constexpr Core::Duration suspicionTime = std::chrono::seconds(20);
 
@@ -83,6 +83,9 @@
 {
     if (beat.server.bornMs < known.bornMs)
         return true;
+    // A life keeps its address and pool; another writer sent this.
+    if (beat.server.bornMs == known.bornMs && (beat.server.address != known.address || beat.server.pool != known.pool))
+        return true;
     auto const found = servers_.find(known.number);
     return beat.server.bornMs == known.bornMs && found != servers_.end() && beat.sequence <= found->second.lastSequence;
 }
--- a/Libraries/LibFleet/RangePlacement.cpp
+++ b/Libraries/LibFleet/RangePlacement.cpp
@@ -7,13 +7,17 @@
 
 namespace {
 
-    /// Ranges for each server of a small pool at the first assignment. More would fill the heartbeats, and a third of
-    /// the servers may leave before the rest reach their bound.
+    /// Ranges for each server at the first assignment, so that half of the servers may leave before the rest reach
+    /// their bound.
     constexpr std::size_t rangesPerServer = 64;
+    /// The same for a pool of few servers, of which two thirds may leave.
+    constexpr std::size_t rangesPerServerOfFew = 48;
+    constexpr std::size_t fewServers = 8;
     /// The same for a large pool, where the sum over all servers is what the control leader and entry hosts hold.
     constexpr std::size_t maxRanges = 8192;
-    /// A server above this multiple of the mean utilization gives ranges away.
+    /// Utilizations within these multiples of the mean are left alone.
     constexpr double imbalanceLimit = 1.25;
+    constexpr double idlenessLimit = 0.75;
     /// A move must leave the receiver below this multiple of the mean.
     constexpr double receiverLimit = 1.05;
     /// Moves of one round. A moving range is not served for about a heartbeat interval.
@@ -62,11 +66,11 @@
     std::ranges::sort(movable, std::greater {}, &PlacementRange::load);
     while (moves.size() < maxMovesPerRound && servers.size() > 1) {
         auto const giver = std::ranges::max_element(servers, {}, &PlacementServer::utilization);
-        if (giver->utilization() <= mean * imbalanceLimit)
-            break;
         auto const receiver = std::ranges::min_element(servers, {}, [](auto const& server) {
             return mayReceive(server) ? server.utilization() : std::numeric_limits<double>::infinity();
         });
+        if (giver->utilization() <= mean * imbalanceLimit && receiver->utilization() >= mean * idlenessLimit)
+            break;
         // The largest range that fits: it relieves the giver with the fewest moves.
         auto const fits = [&](PlacementRange const& range) {
             return range.owner == giver->number
@@ -88,7 +92,8 @@
 std::vector<Assignment> RangePlacement::layOut(Core::PoolName const& pool, std::span<PlacementServer> servers)
 {
     std::vector<Assignment> assignments;
-    auto const count = std::min(servers.size() * rangesPerServer, maxRanges);
+    auto const perServer = servers.size() < fewServers ? rangesPerServerOfFew : rangesPerServer;
+    auto const count = std::min(servers.size() * perServer, maxRanges);
     if (count == 0)
         return assignments;
     for (std::size_t i = 0; i < count; ++i) {
--- a/Libraries/LibFleet/RangePlacement.h
+++ b/Libraries/LibFleet/RangePlacement.h
@@ -47,8 +47,8 @@
     /// Borders for the first assignment: ranges of equal length, dealt to the servers in turn.
     static std::vector<Assignment> layOut(Core::PoolName const&, std::span<PlacementServer>);
 
-    /// Ranges that one server may own. Bounds the answer to a heartbeat to 4 KiB at 24 bytes a range.
-    static constexpr std::size_t maxRangesPerServer = 120;
+    /// Ranges that one server may own. Bounds the answer to a heartbeat to 4 KiB at 25 bytes a range.
+    static constexpr std::size_t maxRangesPerServer = 150;
 };
 
 } // namespace Fleet
--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// Sharers of the bounds until the leader says how many there are.
+    constexpr std::uint32_t assumedEntryHosts = 16;
+
     template <typename Item>
     void mergeItems(std::map<std::string, Held<Item>>& items, std::span<std::string const> names,
         std::span<Held<Item> const> updates)
@@ -36,7 +39,7 @@
 bool ViewUpdate::isEmpty() const
 {
     return !isWhole && routes.empty() && pools.empty() && !limits && !evacuated && servers.empty()
-        && removedServers.empty() && ranges.empty() && !quarantined && entryHosts == 0;
+        && removedServers.empty() && ranges.empty() && !quarantined && !entryHosts;
 }
 
 void addServer(
@@ -47,7 +50,7 @@
         update.servers.push_back({ *server, Core::toMilliseconds(coordinator.coldLeft(number, now)) });
 }
 
-ViewUpdate wholeView(State const& state, Coordinator const& coordinator, Core::TimePoint now, std::uint32_t entryHosts)
+ViewUpdate wholeView(State const& state, Coordinator const& coordinator, Core::TimePoint now)
 {
     ViewUpdate update;
     update.isWhole = true;
@@ -62,7 +65,6 @@
         addServer(update, state, coordinator, number, now);
     update.ranges = coordinator.allRows();
     update.quarantined = coordinator.quarantined(now);
-    update.entryHosts = entryHosts;
     return update;
 }
 
@@ -113,8 +115,8 @@
         ranges_[row.pool][row.first] = { row.last, { row.owner, now + std::chrono::milliseconds(row.waitMs) } };
     if (update.quarantined)
         quarantined_ = { update.quarantined->begin(), update.quarantined->end() };
-    if (update.entryHosts > 0)
-        entryHosts_ = update.entryHosts;
+    if (update.entryHosts)
+        entryHosts_ = *update.entryHosts;
     return gone;
 }
 
@@ -156,6 +158,19 @@
     return !server.isDraining && !evacuated_.contains(server.domain.value);
 }
 
+std::uint32_t View::entryHosts() const
+{
+    return entryHosts_.empty() ? assumedEntryHosts : static_cast<std::uint32_t>(entryHosts_.size());
+}
+
+std::optional<std::uint32_t> View::rankOf(std::string const& entryHost) const
+{
+    auto const found = std::ranges::lower_bound(entryHosts_, entryHost);
+    if (found == entryHosts_.end() || *found != entryHost)
+        return std::nullopt;
+    return static_cast<std::uint32_t>(found - entryHosts_.begin());
+}
+
 KeyOwner const* View::findOwner(Core::PoolName const& pool, std::uint32_t key) const
 {
     auto const ranges = ranges_.find(pool);
--- a/Libraries/LibFleet/View.h
+++ b/Libraries/LibFleet/View.h
@@ -30,15 +30,15 @@
     std::vector<ServerNumber> removedServers;
     std::vector<RangeRow> ranges;
     std::optional<std::vector<std::string>> quarantined;
-    /// Entry hosts that share the bounds of the fleet, zero for unchanged.
-    std::uint32_t entryHosts { 0 };
+    /// Names, in order, of the entry hosts that share the bounds of the fleet.
+    std::optional<std::vector<std::string>> entryHosts;
 
     bool isEmpty() const;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewUpdate, isWhole, routes, routeNames, pools, poolNames, limits, evacuated,
     servers, removedServers, ranges, quarantined, entryHosts)
 
-ViewUpdate wholeView(State const&, Coordinator const&, Core::TimePoint now, std::uint32_t entryHosts);
+ViewUpdate wholeView(State const&, Coordinator const&, Core::TimePoint now);
 /// Adds what a command changed.
 void addChanges(ViewUpdate&, State const&, Coordinator const&, Command const&, Applied const&, Core::TimePoint now);
 void addServer(ViewUpdate&, State const&, Coordinator const&, ServerNumber, Core::TimePoint now);
@@ -75,8 +75,10 @@
     /// Null while the pool's keys were never assigned.
     KeyOwner const* findOwner(Core::PoolName const&, std::uint32_t key) const;
     bool isQuarantined(std::string const& fingerprint) const { return quarantined_.contains(fingerprint); }
-    /// At least one.
-    std::uint32_t entryHosts() const { return std::max(entryHosts_, 1U); }
+    /// How many entry hosts share the bounds of the fleet. At least one.
+    std::uint32_t entryHosts() const;
+    /// The place of an entry host among them. Empty for one that is not counted yet.
+    std::optional<std::uint32_t> rankOf(std::string const& entryHost) const;
 
 private:
     void indexRoutes();
@@ -92,7 +94,7 @@
     /// By the first key of the range.
     std::map<Core::PoolName, std::map<std::uint32_t, std::pair<std::uint32_t, KeyOwner>>> ranges_;
     std::set<std::string> quarantined_;
-    std::uint32_t entryHosts_ { 1 };
+    std::vector<std::string> entryHosts_;
 };
 
 } // namespace Fleet
--- a/Libraries/LibGateway/ColdGate.cpp
+++ b/Libraries/LibGateway/ColdGate.cpp
@@ -12,20 +12,17 @@
 
 } // namespace
 
-bool ColdGate::tryPass(Core::TimePoint now, ColdBound const& bound, std::uint32_t entryHosts)
+bool ColdGate::tryPass(Core::TimePoint now, ColdShare const& share)
 {
-    auto const hosts = static_cast<double>(std::max(entryHosts, 1U));
-    auto const share = bound.perSecond / hosts;
-    auto const perWindow = std::max<std::size_t>(static_cast<std::size_t>(share), 1);
-    auto const span = share >= 1 || share <= 0
-        ? window
-        : std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(window) / share);
-    while (!sends_.empty() && now - sends_.front() >= span)
+    auto const hosts = std::max(share.entryHosts, 1U);
+    auto const total = static_cast<std::size_t>(share.perSecond);
+    // Those of the first ranks take what is left over when the rest is divided evenly.
+    auto const isFirst = share.rank && *share.rank < total % hosts;
+    auto const allowed = total / hosts + (isFirst ? 1 : 0);
+    while (!sends_.empty() && now - sends_.front() >= window)
         sends_.pop_front();
-    if (share <= 0 || sends_.size() >= perWindow) {
-        nextPass_ = sends_.empty() ? now + span : sends_.front() + span;
+    if (sends_.size() >= allowed)
         return false;
-    }
     sends_.push_back(now);
     return true;
 }
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -141,6 +141,10 @@
         waitForOwner(owner ? owner->expectedAt : gateway_.loop_.now() + defaultRetryAfter);
         return;
     }
+    if (!mayRunAt(server->record.number)) {
+        fail(statusBadGateway, "attempts-used");
+        return;
+    }
     auto const& load = gateway_.loadOf(server->record);
     if (load.isUnreachable(gateway_.loop_.now())) {
         refuse("owner-unreachable", load.avoidUntil() - gateway_.loop_.now());
@@ -171,7 +175,7 @@
         if (server.record.pool != pool_ || !gateway_.view_.mayServe(server.record))
             continue;
         auto const& load = gateway_.loadOf(server.record);
-        if (load.isUnreachable(now) || std::ranges::count(tried_, number) > 0)
+        if (load.isUnreachable(now) || tried_.contains(number))
             continue;
         auto cost = load.expectedWait(now) + load.serviceTime();
         if (server.record.domain != gateway_.settings_.failureDomain)
@@ -189,7 +193,8 @@
                 refusal = refused;
             continue;
         }
-        if (gateway_.passesColdGate(*candidate.server, pool) && trySend(*candidate.server, pool))
+        if (mayRunAt(candidate.server->record.number) && gateway_.passesColdGate(*candidate.server, pool)
+            && trySend(*candidate.server, pool))
             return;
     }
     if (mayHaveRun_)
@@ -223,7 +228,7 @@
     ++sends_;
     server_ = server.record.number;
     sentAt_ = gateway_.loop_.now();
-    tried_.push_back(server_);
+    tried_.insert(server_);
     return true;
 }
 
@@ -297,16 +302,11 @@
     refuse("refused-by-server", defaultRetryAfter);
 }
 
-bool Exchange::mayTryAgain()
+bool Exchange::mayTryAgain() { return sends_ < maxSends && gateway_.mayRepeat(pool_); }
+
+bool Exchange::mayRunAt(Fleet::ServerNumber server) const
 {
-    std::set<Fleet::ServerNumber> const servers(tried_.begin(), tried_.end());
-    if (sends_ >= maxSends || servers.size() > maxAttempts_)
-        return false;
-    auto const* const pool = gateway_.view_.findPool(pool_);
-    // The next send of a pool that is not divided by key goes to a server that was not tried.
-    if (pool && !pool->isKeyDivided && servers.size() >= maxAttempts_)
-        return false;
-    return gateway_.mayRepeat(pool_);
+    return ranAt_.size() < maxAttempts_ || ranAt_.contains(server);
 }
 
 void Exchange::onFailure(Net::ExchangeFailure failure)
@@ -330,6 +330,7 @@
     }
     gateway_.suspicions_.push_back({ fingerprint(), server_ });
     mayHaveRun_ = true;
+    ranAt_.insert(server_);
     if (isSafe() && left() > sameServerPause && mayTryAgain()) {
         waitTimer_ = gateway_.loop_.after(sameServerPause, [this] { place(); });
         return;
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -33,6 +33,8 @@
     void onNotRun(AnswerTerms const&);
     /// Whether another send is allowed after one that ended without a usable answer.
     bool mayTryAgain();
+    /// Whether the route's bound on servers that run one request allows this one.
+    bool mayRunAt(Fleet::ServerNumber) const;
     void onDeadline();
     void relay(Net::HttpAnswer);
     void refuse(std::string_view reason, Core::Duration retryAfter);
@@ -62,7 +64,10 @@
     /// A send whose outcome is unknown: the request may have run.
     bool mayHaveRun_ { false };
     bool isWaiting_ { false };
-    std::vector<Fleet::ServerNumber> tried_;
+    /// Servers that this request was sent to.
+    std::set<Fleet::ServerNumber> tried_;
+    /// Those that may have run it.
+    std::set<Fleet::ServerNumber> ranAt_;
     Net::EventLoop::TimerId deadlineTimer_;
     Net::EventLoop::TimerId waitTimer_;
 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -122,8 +122,13 @@
         coldGates_.erase(server.record.number);
         return true;
     }
-    ColdBound const bound { (pool.warmupPerSecond * settings_.coldFactor + settings_.coldSlack) * usedColdPart };
-    return coldGates_[server.record.number].tryPass(now, bound, view_.entryHosts());
+    ColdShare share;
+    share.perSecond = (pool.warmupPerSecond * settings_.coldFactor + settings_.coldSlack) * usedColdPart;
+    share.entryHosts = view_.entryHosts();
+    // Turned by the server, so that the first ranks are others for each one.
+    if (auto const rank = view_.rankOf(settings_.name))
+        share.rank = (*rank + server.record.number) % share.entryHosts;
+    return coldGates_[server.record.number].tryPass(now, share);
 }
 
 std::size_t Gateway::connectionShare(Fleet::PoolItem const& pool) const
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -14,6 +14,8 @@
 class Exchange;
 
 struct GatewaySettings {
+    /// Of this entry host.
+    std::string name;
     RetryBound retries;
     /// A cold server bears its rate times the factor, plus the slack.
     double coldFactor { 1.5 };
--- a/Libraries/LibNet/EventLoop.cpp
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -132,6 +132,7 @@
 void EventLoop::run()
 {
     std::array<epoll_event, maxEvents> events {};
+    isStopping_ = false;
     while (!isStopping_) {
         auto const count = ::epoll_wait(epoll_, events.data(), maxEvents, waitMilliseconds());
         now_ = Core::BootClock::now();
--- /dev/null
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -0,0 +1,319 @@
+#include "Builders.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace TestFleet;
+using namespace Fleet;
+
+namespace {
+
+/// A leader whose commands are committed at once, and backend servers that obey its grants.
+class Leader {
+public:
+    Leader()
+    {
+        state_.apply(configure());
+        restart();
+    }
+
+    void restart() { coordinator_ = std::make_unique<Coordinator>(state_, settings_, now_); }
+
+    void advance(Core::Duration time)
+    {
+        auto const until = now_ + time;
+        while (now_ < until) {
+            now_ += 50ms;
+            coordinator_->tick(now_);
+            commitDecisions();
+        }
+    }
+
+    std::optional<Grant> beat(Heartbeat beat)
+    {
+        if (auto const command = coordinator_->admit(beat))
+            commit(*command);
+        auto grant = coordinator_->answer(now_, now_, beat);
+        commitDecisions();
+        return grant;
+    }
+
+    void commit(Command const& command)
+    {
+        auto const applied = state_.apply(command);
+        coordinator_->onApplied(now_, command, applied);
+    }
+
+    Core::TimePoint now() const { return now_; }
+    State const& state() const { return state_; }
+    Coordinator& coordinator() { return *coordinator_; }
+    CoordinatorSettings const& settings() const { return settings_; }
+
+private:
+    void commitDecisions()
+    {
+        while (auto const command = coordinator_->takeCommand())
+            commit(*command);
+    }
+
+    CoordinatorSettings settings_;
+    State state_;
+    Core::TimePoint now_ { 1000s };
+    std::unique_ptr<Coordinator> coordinator_;
+};
+
+/// A backend server as seen by the leader.
+struct Server {
+    explicit Server(ServerRecord const& serverRecord)
+        : record(serverRecord)
+    {
+    }
+
+    Heartbeat makeBeat()
+    {
+        Heartbeat beat;
+        beat.server = record;
+        beat.sequence = ++sequence;
+        beat.isDraining = isDraining;
+        beat.holds = holds;
+        beat.released = std::exchange(released, {});
+        return beat;
+    }
+
+    /// Takes what it is granted and gives up the rest, with a handover text.
+    void obey(std::optional<Grant> const& grant)
+    {
+        if (!grant)
+            return;
+        std::vector<HeldKeys> next;
+        for (auto const& range : grant->ranges)
+            next.push_back({ range.first, range.last, range.fence });
+        for (auto const& held : holds) {
+            if (std::ranges::none_of(next, [&](auto const& kept) { return kept.first == held.first; }))
+                released.push_back({ held.first, held.last, "handover-" + std::to_string(held.first) });
+        }
+        holds = std::move(next);
+    }
+
+    ServerRecord record;
+    std::uint64_t sequence { 0 };
+    bool isDraining { false };
+    std::vector<HeldKeys> holds;
+    std::vector<ReleasedKeys> released;
+};
+
+void beat(Leader& leader, Server& server) { server.obey(leader.beat(server.makeBeat())); }
+
+/// Servers that beat every second for a while.
+void run(Leader& leader, std::vector<Server*> const& servers, int seconds)
+{
+    for (int i = 0; i < seconds; ++i) {
+        for (auto* const server : servers)
+            beat(leader, *server);
+        leader.advance(1s);
+    }
+}
+
+std::uint32_t heldKeyCount(Server const& server)
+{
+    std::uint32_t count = 0;
+    for (auto const& held : server.holds)
+        count += held.last - held.first + 1;
+    return count;
+}
+
+ServerNumber publishedOwner(Coordinator const& coordinator, std::uint32_t key)
+{
+    for (auto const& row : coordinator.allRows()) {
+        if (row.first <= key && key <= row.last)
+            return row.owner;
+    }
+    return 0;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ServersThatAnnouncedThemselvesShareAllKeys)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    BOOST_TEST(heldKeyCount(a) + heldKeyCount(b) == keyCount);
+    BOOST_TEST(heldKeyCount(a) > keyCount / 3);
+    BOOST_TEST(heldKeyCount(b) > keyCount / 3);
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingServersKeysMoveWithTheirHandoverAndAHigherFence)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    auto const oldFence = std::ranges::max(a.holds, {}, &HeldKeys::fence).fence;
+    auto const moving = a.holds.front();
+    a.isDraining = true;
+    beat(leader, a);
+    BOOST_TEST(a.holds.empty());
+    BOOST_TEST(publishedOwner(leader.coordinator(), moving.first) == 0);
+    beat(leader, a);
+    auto const grant = leader.beat(b.makeBeat());
+    auto const moved = std::ranges::find(grant->ranges, moving.first, &KeyRange::first);
+    BOOST_REQUIRE(moved != grant->ranges.end());
+    BOOST_TEST(moved->handover == "handover-" + std::to_string(moving.first));
+    BOOST_TEST(moved->fence > oldFence);
+}
+
+BOOST_AUTO_TEST_CASE(KeysOfASilentServerStayUntilItsHoldHasRunOut)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    auto const lost = a.holds.front().first;
+    beat(leader, a);
+    leader.advance(leader.settings().hold - 200ms);
+    beat(leader, b);
+    BOOST_TEST(std::ranges::count(b.holds, lost, &HeldKeys::first) == 0);
+    leader.advance(600ms);
+    beat(leader, b);
+    BOOST_TEST(std::ranges::count(b.holds, lost, &HeldKeys::first) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ANewLeaderWaitsOutWhatTheOldOneMayHaveGranted)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    auto const lost = a.holds.front().first;
+    leader.restart();
+    // The server holds its keys since the old leader's last answer, of which the new one knows nothing.
+    leader.advance(leader.settings().hold - 200ms);
+    beat(leader, b);
+    leader.advance(100ms);
+    beat(leader, b);
+    BOOST_TEST(std::ranges::count(b.holds, lost, &HeldKeys::first) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ANewLeaderRenewsHoldsAtOnce)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    auto const before = heldKeyCount(a);
+    leader.restart();
+    beat(leader, a);
+    BOOST_TEST(heldKeyCount(a) == before);
+}
+
+BOOST_AUTO_TEST_CASE(KeysOfAServerThatStartedAnewAreFreeAtOnce)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    auto const lost = a.holds.front().first;
+    Server again(makeServer(1, 5000));
+    beat(leader, again);
+    leader.advance(100ms);
+    beat(leader, b);
+    beat(leader, again);
+    auto const isHeldAgain
+        = std::ranges::count(b.holds, lost, &HeldKeys::first) + std::ranges::count(again.holds, lost, &HeldKeys::first);
+    BOOST_TEST(isHeldAgain == 1);
+}
+
+BOOST_AUTO_TEST_CASE(LateAndForeignHeartbeatsRenewNothing)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    auto const late = a.makeBeat();
+    run(leader, { &a, &b }, 4);
+    BOOST_TEST(!leader.beat(late).has_value());
+    auto other = a.makeBeat();
+    other.server.address = { "10.9.9.9", 80 };
+    BOOST_TEST(!leader.beat(other).has_value());
+    Server former(makeServer(1, 500));
+    BOOST_TEST(!leader.beat(former.makeBeat()).has_value());
+    BOOST_TEST(leader.state().servers().size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AColdServerGetsNoKeysWhileWarmOnesAreThere)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    Server cold(makeServer(3));
+    for (int i = 0; i < 3; ++i) {
+        auto beatOfCold = cold.makeBeat();
+        beatOfCold.warmupLeft = 2s;
+        cold.obey(leader.beat(beatOfCold));
+        run(leader, { &a, &b }, 1);
+    }
+    BOOST_TEST(cold.holds.empty());
+    run(leader, { &a, &b, &cold }, 6);
+    BOOST_TEST(heldKeyCount(cold) > keyCount / 8);
+}
+
+BOOST_AUTO_TEST_CASE(ADomainOutOfServiceLosesItsKeysAndItsServersCountAsColdAfterwards)
+{
+    Leader leader;
+    Server odd(makeServer(1));
+    Server even(makeServer(2));
+    run(leader, { &odd, &even }, 4);
+    Command evacuation;
+    evacuation.domain = DomainChange { { "odd" }, true };
+    leader.commit(evacuation);
+    run(leader, { &odd, &even }, 3);
+    BOOST_TEST(odd.holds.empty());
+    BOOST_TEST(heldKeyCount(even) == keyCount);
+    evacuation.domain->isEvacuated = false;
+    leader.commit(evacuation);
+    auto const* const server = leader.state().findServer(odd.record.name);
+    BOOST_TEST((leader.coordinator().coldLeft(server->number, leader.now()) > 0s));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerFitsIntoFourKibibytes)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    a.isDraining = true;
+    beat(leader, a);
+    for (auto& released : a.released)
+        released.handover = std::string(16, 'f');
+    beat(leader, a);
+    auto const grant = leader.beat(b.makeBeat());
+    std::size_t bytes = 0;
+    for (auto const& range : grant->ranges)
+        bytes += 26 + range.handover.size();
+    BOOST_TEST(bytes < 4000);
+    run(leader, { &b }, 3);
+    BOOST_TEST(heldKeyCount(b) == keyCount);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestIsQuarantinedOnceItCrashedThreeServers)
+{
+    Leader leader;
+    std::vector<Server> servers;
+    for (int i = 1; i <= 4; ++i)
+        servers.emplace_back(makeServer(i));
+    for (auto& server : servers)
+        beat(leader, server);
+    for (int i = 0; i < 3; ++i) {
+        auto const* const server = leader.state().findServer(servers[static_cast<std::size_t>(i)].record.name);
+        LoadReport report;
+        report.suspicions.push_back({ "poison", server->number });
+        report.suspicions.push_back({ "bystander-" + std::to_string(i), server->number });
+        leader.coordinator().onReport(leader.now(), report);
+        BOOST_TEST(leader.coordinator().quarantined(leader.now()).empty());
+        Server again(makeServer(i + 1, 9000));
+        beat(leader, again);
+    }
+    BOOST_TEST(leader.coordinator().quarantined(leader.now()) == std::vector<std::string> { "poison" },
+        boost::test_tools::per_element());
+}
--- /dev/null
+++ b/Tests/LibFleet/TestRangePlacement.cpp
@@ -0,0 +1,114 @@
+#include "Builders.h"
+
+#include <LibFleet/RangePlacement.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace TestFleet;
+using namespace Fleet;
+
+namespace {
+
+std::vector<PlacementServer> makeServers(std::size_t count, double capacity = 4)
+{
+    std::vector<PlacementServer> servers;
+    for (std::size_t i = 0; i < count; ++i)
+        servers.push_back({ static_cast<ServerNumber>(i + 1), capacity });
+    return servers;
+}
+
+/// Requests a second at the busiest server when a stretch of adjacent keys gets `hotRate` evenly.
+double busiestLoad(
+    std::vector<Assignment> const& assignments, std::uint32_t hotFirst, std::uint32_t hotCount, double hotRate)
+{
+    std::map<ServerNumber, double> loads;
+    for (auto const& assignment : assignments) {
+        auto const first = std::max(assignment.first, hotFirst);
+        auto const last = std::min(assignment.last, hotFirst + hotCount - 1);
+        if (first <= last)
+            loads[assignment.owner] += hotRate * (last - first + 1) / hotCount;
+    }
+    return std::ranges::max_element(loads, {}, [](auto const& entry) { return entry.second; })->second;
+}
+
+} // namespace
+
+// Load pattern: 45 in 100 requests of a kind that comes 333 times a second go to 200 adjacent keys; 21 servers bear
+// about 66 requests a second each.
+BOOST_AUTO_TEST_CASE(AHotStretchOfKeysIsSpreadWithoutAMove)
+{
+    auto servers = makeServers(21);
+    auto const assignments = RangePlacement::layOut(lettersPool, servers);
+    for (std::uint32_t at = 0; at + 200 < keyCount; at += 977)
+        BOOST_TEST(busiestLoad(assignments, at, 200, 150) < 40);
+}
+
+BOOST_AUTO_TEST_CASE(TheFirstAssignmentCoversAllKeysOnceAndFitsAHeartbeat)
+{
+    for (std::size_t const count : { 1, 6, 21, 30, 302, 396 }) {
+        auto servers = makeServers(count);
+        auto const assignments = RangePlacement::layOut(lettersPool, servers);
+        std::uint32_t next = 0;
+        std::map<ServerNumber, std::size_t> ranges;
+        for (auto const& assignment : assignments) {
+            BOOST_REQUIRE_EQUAL(assignment.first, next);
+            next = assignment.last + 1;
+            ++ranges[assignment.owner];
+        }
+        BOOST_TEST(next == keyCount);
+        for (auto const& [server, owned] : ranges)
+            BOOST_TEST(owned <= RangePlacement::maxRangesPerServer);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnEvenLoadIsLeftAlone)
+{
+    auto servers = makeServers(4);
+    std::vector<PlacementRange> ranges;
+    for (std::size_t i = 0; i < 40; ++i) {
+        auto& server = servers[i % 4];
+        ranges.push_back({ i, server.number, 2 });
+        server.load += 2;
+        ++server.ranges;
+    }
+    BOOST_TEST(RangePlacement::balance(servers, ranges).empty());
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatJoinedGetsItsShareInAFewRounds)
+{
+    auto servers = makeServers(5);
+    std::vector<PlacementRange> ranges;
+    for (std::size_t i = 0; i < 80; ++i) {
+        auto& server = servers[i % 4];
+        ranges.push_back({ i, server.number, 1 });
+        server.load += 1;
+        ++server.ranges;
+    }
+    for (int round = 0; round < 3; ++round) {
+        for (auto const& move : RangePlacement::balance(servers, ranges))
+            ranges[move.index].owner = move.to;
+    }
+    BOOST_TEST(servers[4].load >= 12);
+}
+
+// Load pattern: one range gets more than any server bears. Moving it would only move the overload.
+BOOST_AUTO_TEST_CASE(ARangeTooHotForAnyServerStaysWhereItIs)
+{
+    auto servers = makeServers(2);
+    servers[0].load = 100;
+    servers[0].ranges = 1;
+    servers[1].load = 1;
+    servers[1].ranges = 1;
+    BOOST_TEST(RangePlacement::balance(servers, { { 0, 1, 100 }, { 1, 2, 1 } }).empty());
+}
+
+BOOST_AUTO_TEST_CASE(ASlowServerGetsLess)
+{
+    auto servers = makeServers(2);
+    servers[1].capacity = 2;
+    std::size_t slow = 0;
+    for (int i = 0; i < 60; ++i)
+        slow += RangePlacement::choose(servers, 1)->number == 2 ? 1 : 0;
+    BOOST_TEST(slow >= 18);
+    BOOST_TEST(slow <= 22);
+}
--- /dev/null
+++ b/Tests/LibFleet/TestState.cpp
@@ -0,0 +1,206 @@
+#include "Builders.h"
+
+#include <LibCore/Random.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace TestFleet;
+using namespace Fleet;
+
+namespace {
+
+Command routeChange(RouteItem route)
+{
+    Command command;
+    command.items.emplace();
+    command.items->routes.push_back(std::move(route));
+    return command;
+}
+
+Command routeRemoval(std::string const& name, std::uint64_t version)
+{
+    Command command;
+    command.items.emplace();
+    command.items->removedRoutes.push_back({ name, version });
+    return command;
+}
+
+Command join(ServerRecord server)
+{
+    Command command;
+    command.servers.joined.push_back(std::move(server));
+    return command;
+}
+
+Command assign(std::uint32_t first, std::uint32_t last, ServerNumber owner)
+{
+    Command command;
+    command.assignments.push_back({ lettersPool, first, last, owner, {} });
+    return command;
+}
+
+std::uint64_t versionOf(State const& state, std::string const& route) { return state.routes().at(route).version; }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Items)
+
+BOOST_AUTO_TEST_CASE(TheHighestVersionWinsInAnyOrder)
+{
+    State state;
+    state.apply(configure());
+    state.apply(routeChange(makeRoute("route", 9)));
+    auto const late = state.apply(routeChange(makeRoute("route", 7)));
+    BOOST_TEST(!late.error.has_value());
+    BOOST_TEST(!late.hasChangedItems);
+    BOOST_TEST(versionOf(state, "route") == 9);
+}
+
+BOOST_AUTO_TEST_CASE(OtherContentUnderTheHeldVersionChangesNothing)
+{
+    State state;
+    state.apply(configure());
+    auto other = makeRoute("route", 1, "/other/");
+    state.apply(routeChange(other));
+    BOOST_TEST(state.routes().at("route").item->prefix == "/a/");
+}
+
+BOOST_AUTO_TEST_CASE(ARemovedItemStaysRemovedForOlderVersions)
+{
+    State state;
+    state.apply(configure());
+    state.apply(routeRemoval("route", 5));
+    state.apply(routeChange(makeRoute("route", 4)));
+    BOOST_TEST(!state.routes().at("route").item.has_value());
+    state.apply(routeChange(makeRoute("route", 6)));
+    BOOST_TEST(state.routes().at("route").item.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnOldRemovalDropsNothing)
+{
+    State state;
+    state.apply(configure());
+    state.apply(routeChange(makeRoute("route", 8)));
+    state.apply(routeRemoval("route", 3));
+    BOOST_TEST(state.routes().at("route").item.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ACallWithAnUnknownPoolIsRefusedWhole)
+{
+    State state;
+    state.apply(configure());
+    auto command = routeChange(makeRoute("good", 2));
+    auto bad = makeRoute("bad", 2);
+    bad.shares = { { { "nowhere" }, 1 } };
+    command.items->routes.push_back(bad);
+    BOOST_TEST(state.apply(command).error.has_value());
+    BOOST_TEST(!state.routes().contains("good"));
+}
+
+BOOST_AUTO_TEST_CASE(SnapshotsHoldEverything)
+{
+    State state;
+    state.apply(configure());
+    state.apply(routeRemoval("gone", 4));
+    state.apply(join(makeServer(1)));
+    state.apply(assign(0, 99, 1));
+    Command evacuation;
+    evacuation.domain = DomainChange { { "odd" }, true };
+    state.apply(evacuation);
+    State copy;
+    BOOST_TEST(copy.restore(state.snapshot()));
+    BOOST_TEST(copy.snapshot() == state.snapshot());
+    BOOST_TEST(copy.routes().at("gone").version == 4);
+    BOOST_TEST(copy.evacuated().contains("odd"));
+}
+
+BOOST_AUTO_TEST_CASE(ADamagedSnapshotChangesNothing)
+{
+    State state;
+    state.apply(configure());
+    auto const before = state.snapshot();
+    BOOST_TEST(!state.restore("not a snapshot"));
+    BOOST_TEST(state.snapshot() == before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Servers)
+
+BOOST_AUTO_TEST_CASE(ANewerLifeAtTheAddressEndsTheOlderOneAndFreesItsKeys)
+{
+    State state;
+    state.apply(configure());
+    state.apply(join(makeServer(1, 1000)));
+    state.apply(assign(0, keyCount - 1, 1));
+    auto const applied = state.apply(join(makeServer(1, 2000)));
+    BOOST_TEST(applied.removedServers == std::vector<ServerNumber> { 1 }, boost::test_tools::per_element());
+    BOOST_TEST(state.servers().size() == 1);
+    BOOST_TEST(state.keys(lettersPool).front().owner == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ALateRegistrationOfAnEndedLifeIsIgnored)
+{
+    State state;
+    state.apply(configure());
+    state.apply(join(makeServer(1, 2000)));
+    auto const applied = state.apply(join(makeServer(1, 1000)));
+    BOOST_TEST(applied.joined.empty());
+    BOOST_TEST(state.servers().begin()->second.bornMs == 2000);
+}
+
+BOOST_AUTO_TEST_CASE(ALeftServerIsRememberedAndKeepsItsRangesUntilTheyAreMoved)
+{
+    State state;
+    state.apply(configure());
+    auto const server = makeServer(1);
+    state.apply(join(server));
+    state.apply(assign(0, 9, 1));
+    Command leave;
+    leave.servers.removed.push_back(1);
+    state.apply(leave);
+    BOOST_TEST(state.hasDeparted(server.name, server.bornMs));
+    BOOST_TEST(!state.hasDeparted(server.name, server.bornMs + 1));
+    // Its hold may not have run out, so the range must not look free.
+    BOOST_TEST(state.keys(lettersPool).front().owner == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(KeyRanges)
+
+BOOST_AUTO_TEST_CASE(RangesAlwaysCoverAllKeysAndFencesRise)
+{
+    State state;
+    state.apply(configure());
+    state.apply(join(makeServer(1)));
+    state.apply(join(makeServer(2)));
+    Core::Random random(7);
+    std::uint64_t lastFence = 0;
+    for (int i = 0; i < 500; ++i) {
+        auto const a = static_cast<std::uint32_t>(random.below(keyCount));
+        auto const b = static_cast<std::uint32_t>(random.below(keyCount));
+        auto const first = std::min(a, b);
+        state.apply(assign(first, std::max(a, b), 1 + static_cast<ServerNumber>(random.below(2))));
+        std::uint32_t next = 0;
+        for (auto const& range : state.keys(lettersPool)) {
+            BOOST_REQUIRE_EQUAL(range.first, next);
+            BOOST_REQUIRE_LE(range.first, range.last);
+            next = range.last + 1;
+            if (range.first == first)
+                BOOST_REQUIRE_GT(range.fence, lastFence);
+        }
+        BOOST_REQUIRE_EQUAL(next, keyCount);
+        lastFence = std::ranges::max(state.keys(lettersPool), {}, &KeyRange::fence).fence;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnAssignmentToAServerThatLeftIsDropped)
+{
+    State state;
+    state.apply(configure());
+    BOOST_TEST(state.apply(assign(0, 5, 12)).assignments.empty());
+    BOOST_TEST(state.keys(lettersPool).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibFleet/TestView.cpp
@@ -0,0 +1,83 @@
+#include "Builders.h"
+
+#include <LibFleet/View.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace TestFleet;
+using namespace Fleet;
+
+namespace {
+
+ViewUpdate routeUpdate(RouteItem const& route)
+{
+    ViewUpdate update;
+    update.routeNames.push_back(route.name.value);
+    update.routes.push_back({ route.version, route });
+    return update;
+}
+
+Core::TimePoint const start { 1000s };
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(TheLongestPrefixSelectsTheRoute)
+{
+    View view;
+    view.apply(routeUpdate(makeRoute("short", 1, "/a/")), start);
+    view.apply(routeUpdate(makeRoute("long", 1, "/a/b/")), start);
+    BOOST_TEST(view.findRoute("host.example", "/a/b/c")->name.value == "long");
+    BOOST_TEST(view.findRoute("host.example", "/a/c")->name.value == "short");
+    BOOST_TEST(view.findRoute("host.example", "/a") == nullptr);
+    BOOST_TEST(view.findRoute("other.example", "/a/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderVersionOfAnItemNeverComesBack)
+{
+    View view;
+    view.apply(routeUpdate(makeRoute("route", 5, "/new/")), start);
+    auto old = routeUpdate(makeRoute("route", 4, "/old/"));
+    old.isWhole = true;
+    view.apply(old, start);
+    BOOST_TEST(view.findRoute("host.example", "/old/x") == nullptr);
+    BOOST_TEST(view.findRoute("host.example", "/new/x") != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(AWholeViewDropsServersAndRangesThatAreNoLongerThere)
+{
+    View view;
+    ViewUpdate first;
+    auto server = makeServer(1);
+    server.number = 1;
+    first.servers.push_back({ server, 0 });
+    first.ranges.push_back({ lettersPool, 0, keyCount - 1, 1, 0 });
+    view.apply(first, start);
+    BOOST_TEST(view.findOwner(lettersPool, 77)->server == 1);
+    ViewUpdate whole;
+    whole.isWhole = true;
+    auto const gone = view.apply(whole, start);
+    BOOST_TEST(gone == std::vector<ServerNumber> { 1 }, boost::test_tools::per_element());
+    BOOST_TEST(view.findServer(1) == nullptr);
+    BOOST_TEST(view.findOwner(lettersPool, 77) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(ServersOfADomainOutOfServiceMayNotServe)
+{
+    View view;
+    ViewUpdate update;
+    update.evacuated = { "odd" };
+    view.apply(update, start);
+    BOOST_TEST(!view.mayServe(makeServer(1)));
+    BOOST_TEST(view.mayServe(makeServer(2)));
+}
+
+BOOST_AUTO_TEST_CASE(AnUpdateSurvivesItsEncoding)
+{
+    ViewUpdate update = routeUpdate(makeRoute("route", 3));
+    update.limits = LimitsItem { 2, 100, 200, 300, 400, "{}" };
+    update.ranges.push_back({ lettersPool, 5, 9, 3, 100 });
+    auto const decoded = decode<ViewUpdate>(encode(update));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(encode(*decoded) == encode(update));
+    BOOST_TEST(!decode<ViewUpdate>("damaged").has_value());
+}
--- /dev/null
+++ b/Tests/LibGateway/FakeServers.cpp
@@ -0,0 +1,140 @@
+#include "FakeServers.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace TestGateway {
+
+Gateway::RequestTerms TestCodec::readRequest(Proxy::MessageHead const& head) const
+{
+    Gateway::RequestTerms terms;
+    terms.attemptId = head.find("Attempt").value_or("");
+    if (auto const left = head.find("Left-Ms"))
+        terms.timeLeft = std::chrono::milliseconds(std::stoi(std::string(*left)));
+    if (auto const key = head.find("Key"))
+        terms.key = static_cast<std::uint32_t>(std::stoul(std::string(*key)));
+    return terms;
+}
+
+Gateway::AnswerTerms TestCodec::readAnswer(Proxy::MessageHead const& head) const
+{
+    Gateway::AnswerTerms terms;
+    terms.attemptId = head.find("Attempt").value_or("");
+    terms.isNotRun = head.find("Not-Run").has_value();
+    return terms;
+}
+
+std::vector<Proxy::HeaderField> TestCodec::addressTo(Core::ServerName const& server, Core::Duration left) const
+{
+    return { { "Left-Ms", std::to_string(Core::toMilliseconds(left)) }, { "Target", server.value } };
+}
+
+bool TestCodec::isReplaced(std::string_view fieldName) const
+{
+    return Proxy::equalsIgnoringCase(fieldName, "Left-Ms") || Proxy::equalsIgnoringCase(fieldName, "Target");
+}
+
+class FakeServer::Connection final : public Net::StreamHandler {
+public:
+    Connection(FakeServer& server, int fd)
+        : server_(server)
+        , stream_(std::make_unique<Net::Stream>(server.loop_, *this, fd, Net::StreamSettings {}))
+        , fd_(fd)
+    {
+    }
+
+private:
+    void onData(Net::Stream& stream) override
+    {
+        buffer_.append(stream.input().view());
+        stream.input().consume(stream.input().view().size());
+        auto const headEnd = buffer_.find("\r\n\r\n");
+        if (headEnd == std::string::npos)
+            return;
+        auto const length = headerOf(buffer_, "Content-Length");
+        auto const total = headEnd + 4 + (length.empty() ? 0 : std::stoul(length));
+        if (buffer_.size() < total)
+            return;
+        auto const request = buffer_.substr(0, total);
+        buffer_.erase(0, total);
+        server_.requests_.push_back(request);
+        react(server_.script_(request));
+    }
+
+    void react(Reaction const& reaction)
+    {
+        stream_->write(reaction.bytes);
+        if (reaction.then == Reaction::Then::Keep)
+            return;
+        if (reaction.then == Reaction::Then::Reset) {
+            linger const abort { 1, 0 };
+            ::setsockopt(fd_, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+        }
+        stream_->close();
+    }
+
+    void onEnd(Net::Stream&, Net::StreamEnd) override { ++server_.closedByPeer_; }
+
+    FakeServer& server_;
+    std::unique_ptr<Net::Stream> stream_;
+    int fd_;
+    std::string buffer_;
+};
+
+FakeServer::FakeServer(Net::EventLoop& loop, Script script)
+    : loop_(loop)
+    , script_(std::move(script))
+    , port_(freePort())
+    , listener_(Net::Listener::open(loop, { "127.0.0.1", port_ },
+          [this](int fd) { connections_.push_back(std::make_unique<Connection>(*this, fd)); }))
+{
+}
+
+FakeServer::~FakeServer() = default;
+
+std::uint16_t freePort()
+{
+    auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    ::bind(fd, reinterpret_cast<sockaddr*>(&address), length);
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+    ::close(fd);
+    return ntohs(address.sin_port);
+}
+
+bool runUntil(Net::EventLoop& loop, std::function<bool()> condition)
+{
+    auto const deadline = Core::BootClock::now() + 5s;
+    while (!condition() && Core::BootClock::now() < deadline)
+        runFor(loop, 2ms);
+    return condition();
+}
+
+void runFor(Net::EventLoop& loop, Core::Duration time)
+{
+    loop.after(time, [&loop] { loop.stop(); });
+    loop.run();
+}
+
+std::string headerOf(std::string const& bytes, std::string const& name)
+{
+    auto const at = bytes.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return {};
+    auto const begin = at + name.size() + 4;
+    return bytes.substr(begin, bytes.find("\r\n", begin) - begin);
+}
+
+std::string answerTo(
+    std::string const& request, std::string const& statusLine, std::string const& body, std::string const& extraFields)
+{
+    return "HTTP/1.1 " + statusLine + "\r\nAttempt: " + headerOf(request, "Attempt") + "\r\n" + extraFields
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace TestGateway
--- /dev/null
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -0,0 +1,442 @@
+#include "FakeServers.h"
+
+#include <LibGateway/Exchange.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace TestGateway;
+using Then = FakeServer::Reaction::Then;
+
+namespace {
+
+Core::PoolName const keyed { "keyed" };
+Core::PoolName const unkeyed { "unkeyed" };
+
+/// A caller's connection that collects what it receives.
+class Caller final : private Net::StreamHandler {
+public:
+    Caller(Net::EventLoop& loop, Core::Endpoint const& address)
+        : loop_(loop)
+        , stream_(new Net::Stream(loop, *this, address, Net::StreamSettings {}))
+    {
+    }
+
+    void send(std::string const& bytes) { stream_->write(bytes); }
+    void close() { stream_->close(); }
+    std::string const& received() const { return received_; }
+    bool isEnded() const { return isEnded_; }
+    bool waitForAnswer()
+    {
+        return runUntil(loop_, [this] { return isEnded_ || received_.find("\r\n\r\n") != std::string::npos; });
+    }
+    std::string status() const { return received_.size() < 12 ? std::string() : received_.substr(9, 3); }
+    void forget() { received_.clear(); }
+
+private:
+    void onData(Net::Stream& stream) override
+    {
+        received_.append(stream.input().view());
+        stream.input().consume(stream.input().view().size());
+    }
+    void onEnd(Net::Stream&, Net::StreamEnd) override { isEnded_ = true; }
+
+    Net::EventLoop& loop_;
+    std::unique_ptr<Net::Stream> stream_;
+    std::string received_;
+    bool isEnded_ { false };
+};
+
+/// An entry host with one server for keys and two for a pool without keys.
+struct Fixture {
+    Fixture()
+        : events(Telemetry::EventLog::open({ .file = "/dev/null" }, clock).value())
+        , a(loop, [](auto const& request) { return FakeServer::Reaction { answerTo(request, "200 OK", "from-a") }; })
+        , b(loop, [](auto const& request) { return FakeServer::Reaction { answerTo(request, "200 OK", "from-b") }; })
+        , gateway(loop, *events, codec, settings())
+    {
+        address = { "127.0.0.1", freePort() };
+        BOOST_REQUIRE(gateway.listen(address));
+    }
+
+    static Gateway::GatewaySettings settings()
+    {
+        Gateway::GatewaySettings result;
+        result.name = "entry";
+        result.retries = { 0.2, 200, 10s };
+        result.coldSlack = 0.3;
+        return result;
+    }
+
+    static Fleet::RouteItem route(
+        std::string const& name, std::string const& prefix, Fleet::RequestKind kind, Core::PoolName const& pool)
+    {
+        Fleet::RouteItem item;
+        item.name = { name };
+        item.version = 1;
+        item.host = "host.example";
+        item.prefix = prefix;
+        item.kind = kind;
+        item.timeoutMs = 600;
+        item.maxAttempts = 2;
+        item.shares = { { pool, 1 } };
+        return item;
+    }
+
+    static Fleet::PoolItem pool(Core::PoolName const& name, bool isKeyDivided)
+    {
+        Fleet::PoolItem item;
+        item.name = name;
+        item.version = 1;
+        item.maxConnections = 320;
+        item.isKeyDivided = isKeyDivided;
+        item.warmupPerSecond = 1;
+        return item;
+    }
+
+    static Fleet::ServerRow server(Fleet::ServerNumber number, FakeServer const& fake, Core::PoolName const& pool)
+    {
+        Fleet::ServerRow row;
+        row.server.number = number;
+        row.server.name = { "life-" + std::to_string(number) };
+        row.server.address = fake.address();
+        row.server.pool = pool;
+        row.server.domain = { "here" };
+        row.server.slots = 4;
+        return row;
+    }
+
+    void add(Fleet::ViewUpdate& update, Fleet::RouteItem const& item)
+    {
+        update.routeNames.push_back(item.name.value);
+        update.routes.push_back({ item.version, item });
+    }
+
+    void configure()
+    {
+        Fleet::ViewUpdate update;
+        add(update, route("safe", "/safe/", Fleet::RequestKind::Safe, keyed));
+        add(update, route("unsafe", "/unsafe/", Fleet::RequestKind::Unsafe, keyed));
+        add(update, route("any", "/any/", Fleet::RequestKind::Unsafe, unkeyed));
+        add(update, route("anySafe", "/any-safe/", Fleet::RequestKind::Safe, unkeyed));
+        update.poolNames = { keyed.value, unkeyed.value };
+        update.pools = { { 1, pool(keyed, true) }, { 1, pool(unkeyed, false) } };
+        update.servers = { server(1, a, keyed), server(2, a, unkeyed), server(3, b, unkeyed) };
+        update.ranges.push_back({ keyed, 0, Fleet::keyCount - 1, 1, 0 });
+        update.entryHosts = { "entry" };
+        gateway.apply(update);
+    }
+
+    std::unique_ptr<Caller> connect() { return std::make_unique<Caller>(loop, address); }
+
+    std::unique_ptr<Caller> ask(std::string const& request)
+    {
+        auto caller = connect();
+        caller->send(request);
+        caller->waitForAnswer();
+        return caller;
+    }
+
+    static std::string request(
+        std::string const& path, std::string const& id, std::string const& body = {}, int leftMs = 500)
+    {
+        auto const method = body.empty() ? "GET " : "POST ";
+        auto const length = body.empty() ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        return method + path + " HTTP/1.1\r\nHost: host.example\r\nAttempt: " + id
+            + "\r\nKey: 7\r\nLeft-Ms: " + std::to_string(leftMs) + "\r\n" + length + "\r\n" + body;
+    }
+
+    Net::EventLoop loop;
+    Core::SystemClock clock;
+    std::unique_ptr<Telemetry::EventLog> events;
+    TestCodec codec;
+    FakeServer a;
+    FakeServer b;
+    Gateway::Gateway gateway;
+    Core::Endpoint address;
+};
+
+FakeServer::Script answering(std::string const& statusLine, std::string const& body, std::string const& fields = {})
+{
+    return [=](auto const& request) { return FakeServer::Reaction { answerTo(request, statusLine, body, fields) }; };
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Exchanges, Fixture)
+
+BOOST_AUTO_TEST_CASE(WithoutAConfigurationRequestsAreToldToComeBack)
+{
+    auto const caller = ask(request("/safe/x", "1"));
+    BOOST_TEST(caller->status() == "503");
+    BOOST_TEST(!headerOf(caller->received(), "Retry-After").empty());
+}
+
+BOOST_AUTO_TEST_CASE(ARequestReachesItsOwnerUnchangedAndItsAnswerComesBackUnchanged)
+{
+    configure();
+    a.setScript(answering("201 Made", "body-of-a", "Seal: abc\r\nKeep-Alive: timeout=9\r\n"));
+    auto const caller = ask(request("/unsafe/x?q=%20", "id-1", "payload"));
+    BOOST_REQUIRE_EQUAL(a.requests().size(), 1);
+    auto const& sent = a.requests().front();
+    BOOST_TEST(sent.starts_with("POST /unsafe/x?q=%20 HTTP/1.1\r\n"));
+    BOOST_TEST(sent.ends_with("\r\n\r\npayload"));
+    BOOST_TEST(headerOf(sent, "Attempt") == "id-1");
+    BOOST_TEST(headerOf(sent, "Target") == "life-1");
+    BOOST_TEST(std::stoi(headerOf(sent, "Left-Ms")) <= 500);
+    BOOST_TEST(caller->received().starts_with("HTTP/1.1 201 Made\r\n"));
+    BOOST_TEST(headerOf(caller->received(), "Seal") == "abc");
+    BOOST_TEST(headerOf(caller->received(), "Keep-Alive").empty());
+    BOOST_TEST(caller->received().ends_with("\r\n\r\nbody-of-a"));
+}
+
+BOOST_AUTO_TEST_CASE(AChunkedBodyArrivesWhole)
+{
+    configure();
+    ask("POST /unsafe/x HTTP/1.1\r\nHost: host.example\r\nAttempt: 1\r\nKey: 7\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n3\r\nabc\r\n"
+        "4\r\ndefg\r\n0\r\n\r\n");
+    BOOST_REQUIRE_EQUAL(a.requests().size(), 1);
+    BOOST_TEST(a.requests().front().ends_with("\r\n\r\nabcdefg"));
+}
+
+BOOST_AUTO_TEST_CASE(UnknownPathsAreNotFound)
+{
+    configure();
+    BOOST_TEST(ask(request("/none/x", "1"))->status() == "404");
+    BOOST_TEST(a.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnUnsafeRequestWhoseAnswerIsLostIsNeitherSentAgainNorCalledNotRun)
+{
+    configure();
+    a.setScript([](auto const&) { return FakeServer::Reaction { {}, Then::Reset }; });
+    BOOST_TEST(ask(request("/unsafe/x", "1", "b"))->status() == "502");
+    BOOST_TEST(a.requests().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ASafeRequestWhoseAnswerIsLostIsSentAgain)
+{
+    configure();
+    a.setScript([this](auto const& request) {
+        if (a.requests().size() == 1)
+            return FakeServer::Reaction { {}, Then::Reset };
+        return FakeServer::Reaction { answerTo(request, "200 OK", "again") };
+    });
+    BOOST_TEST(ask(request("/safe/x", "1"))->status() == "200");
+    BOOST_TEST(a.requests().size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ATruncatedAnswerNeverLooksComplete)
+{
+    configure();
+    a.setScript([](auto const& request) {
+        auto bytes = answerTo(request, "200 OK", "0123456789");
+        bytes.resize(bytes.size() - 4);
+        return FakeServer::Reaction { bytes, Then::Close };
+    });
+    BOOST_TEST(ask(request("/unsafe/x", "1", "b"))->status() == "502");
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthEndsWithItsConnectionButNotWithAReset)
+{
+    configure();
+    auto const unframed = [](auto const& request) {
+        return "HTTP/1.1 200 OK\r\nAttempt: " + headerOf(request, "Attempt") + "\r\n\r\nuntil-the-end";
+    };
+    a.setScript([&](auto const& request) { return FakeServer::Reaction { unframed(request), Then::Close }; });
+    auto const caller = ask(request("/unsafe/x", "1", "b"));
+    BOOST_TEST(caller->received().ends_with("until-the-end"));
+    a.setScript([&](auto const& request) { return FakeServer::Reaction { unframed(request), Then::Reset }; });
+    BOOST_TEST(ask(request("/unsafe/x", "2", "b"))->status() == "502");
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerToAnotherRequestIsSkipped)
+{
+    configure();
+    a.setScript([](auto const& request) {
+        auto const stale = answerTo("\r\nAttempt: other\r\n", "200 OK", "not-yours");
+        return FakeServer::Reaction { stale + answerTo(request, "200 OK", "yours") };
+    });
+    auto const caller = ask(request("/unsafe/x", "1", "b"));
+    BOOST_TEST(caller->received().ends_with("yours"));
+    BOOST_TEST(caller->received().find("not-yours") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(BytesAfterAnAnswerReachNobody)
+{
+    configure();
+    a.setScript([](auto const& request) {
+        return FakeServer::Reaction { answerTo(request, "200 OK", "one") + answerTo(request, "200 OK", "extra") };
+    });
+    auto const caller = ask(request("/unsafe/x", "1", "b"));
+    runFor(loop, 30ms);
+    BOOST_TEST(caller->received().ends_with("one"));
+    a.setScript(answering("200 OK", "two"));
+    caller->forget();
+    caller->send(request("/unsafe/x", "2", "b"));
+    caller->waitForAnswer();
+    BOOST_TEST(caller->received().ends_with("two"));
+}
+
+BOOST_AUTO_TEST_CASE(WhatAServerRefusesIsTriedElsewhereOrRefusedTruthfully)
+{
+    configure();
+    a.setScript(answering("503 Full", "", "Not-Run: 1\r\n"));
+    b.setScript(answering("200 OK", "b"));
+    BOOST_TEST(ask(request("/any/x", "1", "b"))->status() == "200");
+    b.setScript(answering("503 Full", "", "Not-Run: 1\r\n"));
+    auto const caller = ask(request("/any/x", "2", "b"));
+    BOOST_TEST(caller->status() == "503");
+    BOOST_TEST(!headerOf(caller->received(), "Retry-After").empty());
+}
+
+BOOST_AUTO_TEST_CASE(AServersOwnFailureIsRelayed)
+{
+    configure();
+    a.setScript(answering("500 Broken", "why", "Seal: s\r\n"));
+    auto const caller = ask(request("/unsafe/x", "1", "b"));
+    BOOST_TEST(caller->status() == "500");
+    BOOST_TEST(headerOf(caller->received(), "Seal") == "s");
+}
+
+BOOST_AUTO_TEST_CASE(ARequestRunsAtNoMoreServersThanItsRouteAllows)
+{
+    configure();
+    auto const lose = [](auto const&) { return FakeServer::Reaction { {}, Then::Reset }; };
+    a.setScript(lose);
+    b.setScript(lose);
+    FakeServer c(loop, lose);
+    Fleet::ViewUpdate update;
+    update.servers = { server(4, c, unkeyed) };
+    gateway.apply(update);
+    BOOST_TEST(ask(request("/any-safe/x", "1"))->status() == "502");
+    BOOST_TEST(a.requests().size() + b.requests().size() + c.requests().size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AKeyThatMovesAfterEachLossRunsAtNoMoreServersThanItsRouteAllows)
+{
+    configure();
+    FakeServer c(loop, [](auto const& request) { return FakeServer::Reaction { answerTo(request, "200 OK", "c") }; });
+    Fleet::ViewUpdate update;
+    update.servers = { server(5, b, keyed), server(6, c, keyed) };
+    gateway.apply(update);
+    auto const loseAndMoveTo = [this](Fleet::ServerNumber next) {
+        return [this, next](auto const&) {
+            Fleet::ViewUpdate move;
+            move.ranges.push_back({ keyed, 0, Fleet::keyCount - 1, next, 0 });
+            gateway.apply(move);
+            return FakeServer::Reaction { {}, Then::Reset };
+        };
+    };
+    a.setScript(loseAndMoveTo(5));
+    b.setScript(loseAndMoveTo(6));
+    BOOST_TEST(ask(request("/safe/x", "1"))->status() == "502");
+    BOOST_TEST(c.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AUnreachableOwnerIsRefusedAtOnceWithoutAPromiseBroken)
+{
+    configure();
+    Fleet::ViewUpdate update;
+    auto row = server(1, a, keyed);
+    row.server.address.port = freePort();
+    update.servers = { row };
+    gateway.apply(update);
+    auto const began = Core::BootClock::now();
+    BOOST_TEST(ask(request("/unsafe/x", "1", "b"))->status() == "503");
+    BOOST_TEST((Core::BootClock::now() - began < 200ms));
+}
+
+BOOST_AUTO_TEST_CASE(ARequestWaitsForAnOwnerThatIsAboutToCome)
+{
+    configure();
+    Fleet::ViewUpdate update;
+    update.ranges.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 200 });
+    gateway.apply(update);
+    auto const caller = connect();
+    caller->send(request("/safe/x", "1"));
+    runFor(loop, 100ms);
+    BOOST_TEST(caller->received().empty());
+    update.ranges = { { keyed, 0, Fleet::keyCount - 1, 1, 0 } };
+    gateway.apply(update);
+    caller->waitForAnswer();
+    BOOST_TEST(caller->status() == "200");
+}
+
+BOOST_AUTO_TEST_CASE(ARequestIsRefusedAtOnceWhenItsOwnerComesTooLate)
+{
+    configure();
+    Fleet::ViewUpdate update;
+    update.ranges.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 5000 });
+    gateway.apply(update);
+    auto const began = Core::BootClock::now();
+    BOOST_TEST(ask(request("/safe/x", "1"))->status() == "503");
+    BOOST_TEST((Core::BootClock::now() - began < 100ms));
+}
+
+BOOST_AUTO_TEST_CASE(ASilentServerEndsInATimeoutThatPromisesNothing)
+{
+    configure();
+    a.setScript([](auto const&) { return FakeServer::Reaction {}; });
+    BOOST_TEST(ask(request("/unsafe/x", "1", "b", 150))->status() == "504");
+}
+
+// The timer of a request whose time was over when it came used to run after the request had ended.
+BOOST_AUTO_TEST_CASE(ARequestWithoutTimeLeftIsRefusedAndLeavesNothingBehind)
+{
+    configure();
+    BOOST_TEST(ask(request("/safe/x", "1", {}, 0))->status() == "503");
+    runFor(loop, 150ms);
+    BOOST_TEST(gateway.requestCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(TheServerLearnsThatTheCallerHasLeft)
+{
+    configure();
+    a.setScript([](auto const&) { return FakeServer::Reaction {}; });
+    auto const caller = connect();
+    caller->send(request("/safe/x", "1"));
+    BOOST_REQUIRE(runUntil(loop, [this] { return !a.requests().empty(); }));
+    caller->close();
+    BOOST_TEST(runUntil(loop, [this] { return a.closedByPeer() == 1; }));
+    BOOST_TEST(gateway.requestCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AColdServerGetsNoMoreThanItsShare)
+{
+    configure();
+    Fleet::ViewUpdate update;
+    auto row = server(1, a, keyed);
+    row.coldMs = 5000;
+    update.servers = { row };
+    gateway.apply(update);
+    for (int i = 0; i < 6; ++i)
+        ask(request("/safe/x", std::to_string(i)));
+    BOOST_TEST(a.requests().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AQuarantinedRequestReachesNoServer)
+{
+    configure();
+    a.setScript([](auto const&) { return FakeServer::Reaction { {}, Then::Reset }; });
+    ask(request("/unsafe/x", "1", "poison"));
+    auto const report = gateway.takeReport();
+    BOOST_REQUIRE_EQUAL(report.suspicions.size(), 1);
+    Fleet::ViewUpdate update;
+    update.quarantined = { report.suspicions.front().fingerprint };
+    gateway.apply(update);
+    BOOST_TEST(ask(request("/unsafe/x", "2", "poison"))->status() == "503");
+    BOOST_TEST(ask(request("/unsafe/x", "3", "harmless"))->status() == "502");
+    BOOST_TEST(a.requests().size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingHostAnswersAndClosesItsConnections)
+{
+    configure();
+    gateway.startDraining();
+    auto const caller = ask(request("/safe/x", "1"));
+    BOOST_TEST(caller->status() == "200");
+    BOOST_TEST(headerOf(caller->received(), "Connection") == "close");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibGateway/TestPolicies.cpp
@@ -0,0 +1,177 @@
+#include <LibCore/Random.h>
+#include <LibGateway/Admission.h>
+#include <LibGateway/ColdGate.h>
+#include <LibGateway/PoolSplit.h>
+#include <LibGateway/RetryShare.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace Gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+Core::TimePoint const start { 1000s };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AdmissionTests)
+
+BOOST_AUTO_TEST_CASE(AnIdleServerGetsARequestThatCanStillBeAnswered)
+{
+    ServerLoad const server(4);
+    BOOST_TEST(!Admission::check({ 500ms, 2, 0.5 }, server, start).has_value());
+}
+
+// Load pattern: a burst for one owner. What waits is bounded, and what cannot be answered in time is refused at once.
+BOOST_AUTO_TEST_CASE(ARequestThatWouldNotBeAnsweredInTimeIsRefusedAtOnce)
+{
+    ServerLoad server(2);
+    for (int i = 0; i < 6; ++i)
+        server.onSent();
+    // Five requests before it in two slots of 100 ms each.
+    BOOST_TEST(Admission::check({ 200ms, 0, 0.5 }, server, start).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(PlacesAreBoundedHoweverLongTheCallerWaits)
+{
+    ServerLoad server(2);
+    int sent = 0;
+    while (!Admission::check({ 60s, 0, 0.5 }, server, start) && sent < 100) {
+        server.onSent();
+        ++sent;
+    }
+    BOOST_TEST(sent == 6);
+}
+
+BOOST_AUTO_TEST_CASE(LessUrgentRequestsFindFewerPlacesButSome)
+{
+    ServerLoad server(4);
+    int urgent = 0;
+    while (!Admission::check({ 60s, 0, 0.5 }, server, start)) {
+        server.onSent();
+        ++urgent;
+    }
+    ServerLoad other(4);
+    int patient = 0;
+    while (!Admission::check({ 60s, 2, 0.5 }, other, start)) {
+        other.onSent();
+        ++patient;
+    }
+    BOOST_TEST(patient < urgent);
+    BOOST_TEST(patient >= 4);
+}
+
+BOOST_AUTO_TEST_CASE(ReturnsOfRefusedCallersAreSpread)
+{
+    auto const soonest = Admission::retryAfter(400ms, 100ms, 0.0);
+    auto const latest = Admission::retryAfter(400ms, 100ms, 0.999);
+    BOOST_TEST((latest - soonest >= 400ms));
+    BOOST_TEST((Admission::retryAfter(0ms, 1ms, 0.0) > 0ms));
+}
+
+BOOST_AUTO_TEST_CASE(AReportOfOthersLoadIsBelievedLessTheOlderItIs)
+{
+    ServerLoad server(4);
+    server.onReport({ 4, 8, 4, 1 }, start);
+    BOOST_TEST(server.occupancy(start) == 12);
+    BOOST_TEST(server.occupancy(start + 2s) < 1);
+}
+
+BOOST_AUTO_TEST_CASE(AnUnreachableServerIsLeftAloneForLongerEachTime)
+{
+    ServerLoad server(4);
+    server.onUnreachable(start);
+    auto const first = server.avoidUntil() - start;
+    server.onUnreachable(start);
+    BOOST_TEST((server.avoidUntil() - start > first));
+    for (int i = 0; i < 50; ++i)
+        server.onUnreachable(start);
+    BOOST_TEST((server.avoidUntil() - start <= 2s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RetryShareTests)
+
+// Load pattern: every answer is lost for a while, at many entry hosts with uneven traffic.
+BOOST_AUTO_TEST_CASE(TheSharesOfAllEntryHostsKeepTheBoundInEveryWindow)
+{
+    RetryBound const bound { 0.2, 56, 10s };
+    constexpr std::uint32_t hosts = 8;
+    std::vector<RetryShare> shares(hosts, RetryShare(bound));
+    Core::Random random(3);
+    std::vector<std::pair<Core::TimePoint, bool>> events;
+    for (auto now = start; now < start + 40s; now += 10ms) {
+        for (std::uint32_t i = 0; i < hosts; ++i) {
+            if (random.unit() > 0.1 * (i + 1) / hosts)
+                continue;
+            shares[i].countRequest(now);
+            events.emplace_back(now, false);
+            for (int attempt = 0; attempt < 2; ++attempt) {
+                if (shares[i].tryRepeat(now, hosts))
+                    events.emplace_back(now, true);
+            }
+        }
+    }
+    for (auto from = start; from < start + 30s; from += 500ms) {
+        double requests = 0;
+        double repeats = 0;
+        for (auto const& [at, isRepeat] : events) {
+            if (at >= from && at < from + bound.window)
+                (isRepeat ? repeats : requests) += 1;
+        }
+        BOOST_TEST(repeats <= bound.ratio * requests + bound.slack);
+    }
+    BOOST_TEST(std::ranges::count(events, true, &std::pair<Core::TimePoint, bool>::second) > 100);
+}
+
+BOOST_AUTO_TEST_CASE(RepeatsReturnAfterTheWindow)
+{
+    RetryShare share({ 0.2, 8, 10s });
+    while (share.tryRepeat(start, 1)) { }
+    BOOST_TEST(!share.tryRepeat(start + 9s, 1));
+    BOOST_TEST(share.tryRepeat(start + 12s, 1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ColdGateTests)
+
+// Load pattern: a server returns cold and every entry host has requests for it, each beginning at its own moment.
+BOOST_AUTO_TEST_CASE(AllEntryHostsTogetherKeepTheBoundInEverySecond)
+{
+    for (auto const& [hosts, perSecond] : { std::pair { 8U, 32.0 }, { 11U, 10.1 }, { 83U, 13.1 }, { 1U, 5.0 } }) {
+        std::vector<ColdGate> gates(hosts);
+        std::vector<Core::TimePoint> sends;
+        Core::Random random(hosts);
+        for (auto now = start; now < start + 20s; now += 5ms) {
+            for (std::uint32_t i = 0; i < hosts; ++i) {
+                if (random.unit() < 0.3 && gates[i].tryPass(now, { perSecond, hosts, i }))
+                    sends.push_back(now + std::chrono::milliseconds(random.below(20)));
+            }
+        }
+        std::ranges::sort(sends);
+        for (std::size_t i = 0; i < sends.size(); ++i) {
+            auto const end = std::ranges::lower_bound(sends, sends[i] + 1s);
+            BOOST_REQUIRE_LE(static_cast<double>(end - sends.begin()) - static_cast<double>(i), perSecond);
+        }
+        BOOST_TEST(!sends.empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(ASplitHoldsOverAFewRequests)
+{
+    PoolSplit split;
+    std::vector<Fleet::PoolShare> const shares { { { "a" }, 90 }, { { "b" }, 10 } };
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 50; ++i)
+        ++counts[split.choose(shares)->pool.value];
+    BOOST_TEST(counts["a"] == 45);
+    BOOST_TEST(counts["b"] == 5);
+    BOOST_TEST(split.choose({}) == nullptr);
+}
--- /dev/null
+++ b/Tests/Platform/Main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE Platform
+#include <boost/test/unit_test.hpp>
