--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -18,7 +18,7 @@
     constexpr Core::Duration joinerExpiry = std::chrono::seconds(2);
     constexpr Core::Duration memberChangeInterval = std::chrono::milliseconds(20);
     /// A peer or entry host that has not taken this much is cut off, and starts again with a new channel.
-    constexpr std::size_t maxPendingBytes = 16UL * 1024 * 1024;
+    constexpr std::size_t maxPendingBytes = 4UL * 1024 * 1024;
     /// Entry hosts that were lost count for this long, since they may still be serving.
     constexpr Core::Duration sharingMemory = std::chrono::seconds(30);
     /// A new leader says how many entry hosts there are only once they had time to connect.
@@ -257,10 +257,7 @@
     channel.send(makeFrame(FrameType::Leader, hint()));
     entryChannels_[&channel] = hello.entryHost;
     events_.write(EventId::EntryHostJoined, { { "entry", hello.entryHost } });
-    auto view = Fleet::wholeView(replica_.state(), *coordinator_, loop_.now());
-    if (!sharing_.empty())
-        view.entryHosts = sharing_;
-    channel.send(makeFrame(FrameType::View, view));
+    channel.send(wholeFrame());
 }
 
 void ControlHost::onJoin(Net::FrameChannel& channel, JoinRequest const& request)
@@ -293,6 +290,7 @@
 void ControlHost::onLeading(bool isLeading)
 {
     update_ = {};
+    wholeFrame_.clear();
     if (isLeading) {
         coordinator_ = std::make_unique<Fleet::Coordinator>(replica_.state(), settings_.coordinator, loop_.now());
         leadingSince_ = loop_.now();
@@ -334,17 +332,38 @@
     for (auto const number : coordinator_->takeColdChanges())
         Fleet::addServer(update_, replica_.state(), *coordinator_, number, now);
     auto rows = coordinator_->takeRows();
-    std::ranges::move(rows, std::back_inserter(update_.ranges));
+    std::ranges::move(rows, std::back_inserter(update_.ranges.rows));
     if (coordinator_->hasNewQuarantine())
         update_.quarantined = coordinator_->quarantined(now);
     if (update_.isEmpty())
         return;
     auto const frame = makeFrame(FrameType::View, update_);
     update_ = {};
+    wholeFrame_.clear();
+    std::vector<Net::FrameChannel*> stuck;
     for (auto const& [channel, name] : entryChannels_) {
         if (channel->pendingBytes() <= maxPendingBytes)
             channel->send(frame);
+        else
+            stuck.push_back(channel);
+    }
+    // An entry host must not miss a change; it asks for the whole view again.
+    for (auto* const channel : stuck) {
+        channel->close();
+        onClosed(*channel);
+    }
+}
+
+std::string const& ControlHost::wholeFrame()
+{
+    // All entry hosts ask at once after a change of the leader.
+    if (wholeFrame_.empty()) {
+        auto view = Fleet::wholeView(replica_.state(), *coordinator_, loop_.now());
+        if (!sharing_.empty())
+            view.entryHosts = sharing_;
+        wholeFrame_ = makeFrame(FrameType::View, view);
     }
+    return wholeFrame_;
 }
 
 void ControlHost::countEntryHosts()
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -70,6 +70,8 @@
     void submitDecisions();
     void publishSoon();
     void publish();
+    /// The whole view, encoded once until it changes.
+    std::string const& wholeFrame();
     void tick();
     void askToJoin();
     void superviseMembers();
@@ -94,6 +96,7 @@
     std::unique_ptr<Fleet::Coordinator> coordinator_;
     Core::TimePoint leadingSince_;
     Fleet::ViewUpdate update_;
+    std::string wholeFrame_;
     bool isPublishScheduled_ { false };
     Core::TimePoint lastMemberChange_;
     Core::TimePoint lastLeader_;
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -85,7 +85,6 @@
     /// How long it takes about until an owner is there, if there is none.
     std::int64_t waitMs { 0 };
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RangeRow, pool, first, last, owner, waitMs)
 
 /// The decisions of the control leader over backend servers and the keys that they own. Made anew for each term of
 /// leadership. Deterministic, without clocks or sockets.
--- a/Libraries/LibFleet/RangePlacement.cpp
+++ b/Libraries/LibFleet/RangePlacement.cpp
@@ -14,7 +14,7 @@
     constexpr std::size_t rangesPerServerOfFew = 48;
     constexpr std::size_t fewServers = 8;
     /// The same for a large pool, where the sum over all servers is what the control leader and entry hosts hold.
-    constexpr std::size_t maxRanges = 8192;
+    constexpr std::size_t maxRanges = 4096;
     /// Utilizations within these multiples of the mean are left alone.
     constexpr double imbalanceLimit = 1.25;
     constexpr double idlenessLimit = 0.75;
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -140,6 +140,7 @@
     }
     record.number = nextServer_++;
     applied.joined.push_back(record.number);
+    numbers_[record.name] = record.number;
     servers_.emplace(record.number, std::move(record));
 }
 
@@ -151,6 +152,7 @@
     departed_.push_back({ found->second.name, found->second.bornMs });
     if (departed_.size() > maxDeparted)
         departed_.erase(departed_.begin());
+    numbers_.erase(found->second.name);
     servers_.erase(found);
     applied.removedServers.push_back(number);
 }
@@ -187,8 +189,8 @@
 
 ServerRecord const* State::findServer(Core::ServerName const& name) const
 {
-    auto const found = std::ranges::find_if(servers_, [&](auto const& entry) { return entry.second.name == name; });
-    return found == servers_.end() ? nullptr : &found->second;
+    auto const found = numbers_.find(name);
+    return found == numbers_.end() ? nullptr : findServer(found->second);
 }
 
 bool State::hasDeparted(Core::ServerName const& name, std::int64_t bornMs) const
@@ -228,6 +230,9 @@
     in.at("departed").get_to(state.departed_);
     in.at("keys").get_to(state.keys_);
     in.at("nextFence").get_to(state.nextFence_);
+    state.numbers_.clear();
+    for (auto const& [number, server] : state.servers_)
+        state.numbers_[server.name] = number;
 }
 
 std::string State::snapshot() const { return encode(*this); }
--- a/Libraries/LibFleet/State.h
+++ b/Libraries/LibFleet/State.h
@@ -65,6 +65,8 @@
     LimitsItem limits_;
     std::set<std::string> evacuated_;
     std::map<ServerNumber, ServerRecord> servers_;
+    /// Of the newest life by the server's name. Made from `servers_`.
+    std::map<Core::ServerName, ServerNumber> numbers_;
     ServerNumber nextServer_ { 1 };
     std::vector<Departed> departed_;
     std::map<std::string, std::vector<KeyRange>> keys_;
--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -36,10 +36,57 @@
 
 } // namespace
 
+void to_json(nlohmann::json& out, ServerRow const& row)
+{
+    auto const& server = row.server;
+    out = nlohmann::json::array({ server.number, server.name, server.address, server.pool, server.domain, server.slots,
+        server.isDraining, row.coldMs });
+}
+
+void from_json(nlohmann::json const& in, ServerRow& row)
+{
+    auto& server = row.server;
+    in.at(0).get_to(server.number);
+    in.at(1).get_to(server.name);
+    in.at(2).get_to(server.address);
+    in.at(3).get_to(server.pool);
+    in.at(4).get_to(server.domain);
+    in.at(5).get_to(server.slots);
+    in.at(6).get_to(server.isDraining);
+    in.at(7).get_to(row.coldMs);
+}
+
+void to_json(nlohmann::json& out, RangeRows const& ranges)
+{
+    std::map<std::string, std::vector<std::int64_t>> lists;
+    std::map<std::string, std::int64_t> next;
+    for (auto const& row : ranges.rows) {
+        auto& list = lists[row.pool.value];
+        auto& expected = next[row.pool.value];
+        list.insert(list.end(), { row.first - expected, row.last - row.first + 1, row.owner, row.waitMs });
+        expected = row.last + 1;
+    }
+    out = std::move(lists);
+}
+
+void from_json(nlohmann::json const& in, RangeRows& ranges)
+{
+    ranges.rows.clear();
+    for (auto const& [pool, list] : in.items()) {
+        std::int64_t next = 0;
+        for (std::size_t i = 0; i + 3 < list.size(); i += 4) {
+            auto const first = next + list[i].get<std::int64_t>();
+            next = first + list[i + 1].get<std::int64_t>();
+            ranges.rows.push_back({ { pool }, static_cast<std::uint32_t>(first), static_cast<std::uint32_t>(next - 1),
+                list[i + 2].get<ServerNumber>(), list[i + 3].get<std::int64_t>() });
+        }
+    }
+}
+
 bool ViewUpdate::isEmpty() const
 {
     return !isWhole && routes.empty() && pools.empty() && !limits && !evacuated && servers.empty()
-        && removedServers.empty() && ranges.empty() && !quarantined && !entryHosts;
+        && removedServers.empty() && ranges.rows.empty() && !quarantined && !entryHosts;
 }
 
 void addServer(
@@ -63,7 +110,7 @@
     update.evacuated = state.evacuated();
     for (auto const& [number, server] : state.servers())
         addServer(update, state, coordinator, number, now);
-    update.ranges = coordinator.allRows();
+    update.ranges.rows = coordinator.allRows();
     update.quarantined = coordinator.quarantined(now);
     return update;
 }
@@ -111,7 +158,7 @@
         servers_[row.server.number] = { row.server, now + std::chrono::milliseconds(row.coldMs) };
     for (auto const number : update.removedServers)
         servers_.erase(number);
-    for (auto const& row : update.ranges)
+    for (auto const& row : update.ranges.rows)
         ranges_[row.pool][row.first] = { row.last, { row.owner, now + std::chrono::milliseconds(row.waitMs) } };
     if (update.quarantined)
         quarantined_ = { update.quarantined->begin(), update.quarantined->end() };
--- a/Libraries/LibFleet/View.h
+++ b/Libraries/LibFleet/View.h
@@ -14,7 +14,18 @@
     /// How much longer it stays cold.
     std::int64_t coldMs { 0 };
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ServerRow, server, coldMs)
+/// An array without names; when the server was born and what software it runs are left out. A whole view goes to every
+/// entry host over a link of a few megabits a second.
+void to_json(nlohmann::json&, ServerRow const&);
+void from_json(nlohmann::json const&, ServerRow&);
+
+/// Rows of any pools. Encoded as one flat list of numbers for each pool: keys skipped since the last row, keys of the
+/// row, owner, wait.
+struct RangeRows {
+    std::vector<RangeRow> rows;
+};
+void to_json(nlohmann::json&, RangeRows const&);
+void from_json(nlohmann::json const&, RangeRows&);
 
 /// What the control leader tells an entry host: everything at first, then what has changed.
 struct ViewUpdate {
@@ -28,7 +39,7 @@
     std::optional<std::set<std::string>> evacuated;
     std::vector<ServerRow> servers;
     std::vector<ServerNumber> removedServers;
-    std::vector<RangeRow> ranges;
+    RangeRows ranges;
     std::optional<std::vector<std::string>> quarantined;
     /// Names, in order, of the entry hosts that share the bounds of the fleet.
     std::optional<std::vector<std::string>> entryHosts;
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -253,19 +253,26 @@
     if (!isWaiting_)
         return;
     auto const* const owner = gateway_.view_.findOwner(pool_, terms_.key.value_or(0));
-    if (!owner || !gateway_.view_.findServer(owner->server))
+    if (!owner || owner->server == server_ || !gateway_.view_.findServer(owner->server))
         return;
-    place();
+    if (sends_ > 0 && !mayTryAgain())
+        refuse("owner-changed", defaultRetryAfter);
+    else
+        place();
 }
 
 void Exchange::onAnswer(Net::HttpAnswer answer, AnswerTerms const& terms)
 {
     auto const elapsed = gateway_.loop_.now() - sentAt_;
+    auto const isMisdirected = answer.head.status == statusMisdirected;
     link_ = nullptr;
     if (auto const* const server = gateway_.view_.findServer(server_)) {
         auto& load = gateway_.loadOf(server->record);
         load.onDone();
-        load.onReachable();
+        if (isMisdirected)
+            load.onMisdirected(gateway_.loop_.now());
+        else
+            load.onReachable();
         if (terms.load)
             load.onReport(*terms.load, gateway_.loop_.now());
         auto const hasQueued = !wasIdleAtSend_ || (terms.load && terms.load->waiting > 0);
@@ -274,9 +281,9 @@
             gateway_.countLatency(server_, elapsed);
         }
     }
-    if (terms.isNotRun || answer.head.status == statusMisdirected) {
+    if (terms.isNotRun || isMisdirected) {
         if (!mayHaveRun_) {
-            onNotRun(terms);
+            onNotRun(isMisdirected);
             return;
         }
         fail(statusBadGateway, "refused-after-unknown-send");
@@ -285,21 +292,26 @@
     relay(std::move(answer));
 }
 
-void Exchange::onNotRun(AnswerTerms const&)
+/// The server did not run the request.
+void Exchange::onNotRun(bool isMisdirected)
 {
     auto const* const pool = gateway_.view_.findPool(pool_);
-    auto const isKeyed = pool && pool->isKeyDivided;
-    auto const pause = isKeyed ? misdirectedWait : Core::Duration::zero();
-    if (left() > pause + sameServerPause && mayTryAgain()) {
-        if (!isKeyed) {
+    if (pool && !pool->isKeyDivided) {
+        if (mayTryAgain())
             place();
-            return;
-        }
-        isWaiting_ = false;
-        waitTimer_ = gateway_.loop_.after(sameServerPause, [this] { place(); });
+        else
+            refuse("refused-by-server", defaultRetryAfter);
+        return;
+    }
+    // The same owner would say the same again: only news of another owner helps.
+    if (isMisdirected) {
+        waitForOwner(gateway_.loop_.now() + misdirectedWait - ownerGrace);
         return;
     }
-    refuse("refused-by-server", defaultRetryAfter);
+    if (left() > sameServerPause && mayTryAgain())
+        waitTimer_ = gateway_.loop_.after(sameServerPause, [this] { place(); });
+    else
+        refuse("refused-by-server", defaultRetryAfter);
 }
 
 bool Exchange::mayTryAgain() { return sends_ < maxSends && gateway_.mayRepeat(pool_); }
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -30,7 +30,7 @@
     void placeAnywhere(Fleet::PoolItem const&);
     bool trySend(Fleet::ViewServer const&, Fleet::PoolItem const&);
     void waitForOwner(Core::TimePoint expectedAt);
-    void onNotRun(AnswerTerms const&);
+    void onNotRun(bool isMisdirected);
     /// Whether another send is allowed after one that ended without a usable answer.
     bool mayTryAgain();
     /// Whether the route's bound on servers that run one request allows this one.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -51,7 +51,7 @@
         limits.idleTimeout = std::chrono::milliseconds(view_.limits().idleTimeoutMs);
         server_->setLimits(limits);
     }
-    if (update.ranges.empty() && update.servers.empty())
+    if (update.ranges.rows.empty() && update.servers.empty())
         return;
     // An exchange that looks again may end and leave the map.
     std::vector<Net::ExchangeId> ids;
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -15,6 +15,8 @@
     constexpr double maxOccupancyPerSlot = 3.0;
     constexpr Core::Duration firstAvoidance = std::chrono::milliseconds(200);
     constexpr std::uint32_t maxDoublings = 3;
+    /// One or two come from a key that moves just then.
+    constexpr std::uint32_t maxMisdirected = 3;
 
 } // namespace
 
@@ -38,6 +40,18 @@
     ++failures_;
 }
 
+void ServerLoad::onReachable()
+{
+    failures_ = 0;
+    misdirected_ = 0;
+}
+
+void ServerLoad::onMisdirected(Core::TimePoint now)
+{
+    if (++misdirected_ >= maxMisdirected)
+        onUnreachable(now);
+}
+
 double ServerLoad::occupancy(Core::TimePoint now) const
 {
     auto const age = std::chrono::duration<double>(now - reportedAt_);
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -24,7 +24,11 @@
     void onServiceTime(Core::Duration);
     /// No connection came about. The server is left alone for a while, longer each time.
     void onUnreachable(Core::TimePoint now);
-    void onReachable() { failures_ = 0; }
+    /// It answered as itself.
+    void onReachable();
+    /// It said that it does not have the key, or is another server than the addressed one. A server that does so
+    /// several times without any other answer has probably ended, and its address belongs to another one.
+    void onMisdirected(Core::TimePoint now);
 
     bool isUnreachable(Core::TimePoint now) const { return now < avoidUntil_; }
     Core::TimePoint avoidUntil() const { return avoidUntil_; }
@@ -47,6 +51,7 @@
     Core::TimePoint reportedAt_;
     Core::Duration serviceTime_ { std::chrono::milliseconds(100) };
     std::uint32_t failures_ { 0 };
+    std::uint32_t misdirected_ { 0 };
     Core::TimePoint avoidUntil_;
 };
 
--- a/Tests/LibFleet/TestView.cpp
+++ b/Tests/LibFleet/TestView.cpp
@@ -50,7 +50,7 @@
     auto server = makeServer(1);
     server.number = 1;
     first.servers.push_back({ server, 0 });
-    first.ranges.push_back({ lettersPool, 0, keyCount - 1, 1, 0 });
+    first.ranges.rows.push_back({ lettersPool, 0, keyCount - 1, 1, 0 });
     view.apply(first, start);
     BOOST_TEST(view.findOwner(lettersPool, 77)->server == 1);
     ViewUpdate whole;
@@ -75,7 +75,7 @@
 {
     ViewUpdate update = routeUpdate(makeRoute("route", 3));
     update.limits = LimitsItem { 2, 100, 200, 300, 400, "{}" };
-    update.ranges.push_back({ lettersPool, 5, 9, 3, 100 });
+    update.ranges.rows.push_back({ lettersPool, 5, 9, 3, 100 });
     auto const decoded = decode<ViewUpdate>(encode(update));
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST(encode(*decoded) == encode(update));
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -121,7 +121,7 @@
         update.poolNames = { keyed.value, unkeyed.value };
         update.pools = { { 1, pool(keyed, true) }, { 1, pool(unkeyed, false) } };
         update.servers = { server(1, a, keyed), server(2, a, unkeyed), server(3, b, unkeyed) };
-        update.ranges.push_back({ keyed, 0, Fleet::keyCount - 1, 1, 0 });
+        update.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 1, 0 });
         update.entryHosts = { "entry" };
         gateway.apply(update);
     }
@@ -323,7 +323,7 @@
     auto const loseAndMoveTo = [this](Fleet::ServerNumber next) {
         return [this, next](auto const&) {
             Fleet::ViewUpdate move;
-            move.ranges.push_back({ keyed, 0, Fleet::keyCount - 1, next, 0 });
+            move.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, next, 0 });
             gateway.apply(move);
             return FakeServer::Reaction { {}, Then::Reset };
         };
@@ -334,6 +334,35 @@
     BOOST_TEST(c.requests().empty());
 }
 
+// The address of a server that ended belongs to another one. Each request used to be sent there three times.
+BOOST_AUTO_TEST_CASE(AServerThatIsAnotherOneIsNotAskedTheSameAgain)
+{
+    configure();
+    a.setScript(answering("421 Misdirected", "", "Not-Run: 1\r\n"));
+    BOOST_TEST(ask(request("/safe/x", "1"))->status() == "503");
+    BOOST_TEST(a.requests().size() == 1);
+    ask(request("/safe/x", "2"));
+    ask(request("/safe/x", "3"));
+    BOOST_TEST(ask(request("/safe/x", "4"))->status() == "503");
+    BOOST_TEST(a.requests().size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatMissedItsOwnerFollowsItToTheNextOne)
+{
+    configure();
+    a.setScript(answering("421 Misdirected", "", "Not-Run: 1\r\n"));
+    auto const caller = connect();
+    caller->send(request("/unsafe/x", "1", "b"));
+    BOOST_REQUIRE(runUntil(loop, [this] { return !a.requests().empty(); }));
+    runFor(loop, 20ms);
+    Fleet::ViewUpdate update;
+    update.servers = { server(5, b, keyed) };
+    update.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 5, 0 });
+    gateway.apply(update);
+    caller->waitForAnswer();
+    BOOST_TEST(caller->status() == "200");
+}
+
 BOOST_AUTO_TEST_CASE(AUnreachableOwnerIsRefusedAtOnceWithoutAPromiseBroken)
 {
     configure();
@@ -351,13 +380,13 @@
 {
     configure();
     Fleet::ViewUpdate update;
-    update.ranges.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 200 });
+    update.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 200 });
     gateway.apply(update);
     auto const caller = connect();
     caller->send(request("/safe/x", "1"));
     runFor(loop, 100ms);
     BOOST_TEST(caller->received().empty());
-    update.ranges = { { keyed, 0, Fleet::keyCount - 1, 1, 0 } };
+    update.ranges.rows = { { keyed, 0, Fleet::keyCount - 1, 1, 0 } };
     gateway.apply(update);
     caller->waitForAnswer();
     BOOST_TEST(caller->status() == "200");
@@ -367,7 +396,7 @@
 {
     configure();
     Fleet::ViewUpdate update;
-    update.ranges.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 5000 });
+    update.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 5000 });
     gateway.apply(update);
     auto const began = Core::BootClock::now();
     BOOST_TEST(ask(request("/safe/x", "1"))->status() == "503");
