--- a/Libraries/LibTelemetry/Event.cpp
+++ b/Libraries/LibTelemetry/Event.cpp
@@ -59,7 +59,7 @@
         PRIMROSESHIFT_EVENT(ViewLeaseLost, Error, "The entry host has no view lease and rejects new work as not run.", "Check the control hosts and the network to them."),
         PRIMROSESHIFT_EVENT(ViewLeaseRestored, Info, "The entry host has a view lease again.", "None."),
         PRIMROSESHIFT_EVENT(AnnouncementRejected, Warning, "An announcement of a backend server is malformed or names an unknown pool.", "Correct the server's settings or add the pool."),
-        PRIMROSESHIFT_EVENT(RequestRejected, Debug, "A request was rejected as not run.", "Look at the reason."),
+        PRIMROSESHIFT_EVENT(RequestRejected, Info, "A request was rejected as not run.", "Look at the reason."),
         PRIMROSESHIFT_EVENT(RequestOutcomeUnknown, Warning, "A request may have run and its response is lost.", "For orders, check at the backend server whether it ran."),
         PRIMROSESHIFT_EVENT(ResponseTruncated, Warning, "A response broke off after its head was forwarded.", "Check the backend server."),
         PRIMROSESHIFT_EVENT(ConnectionHalfOpen, Warning, "A connection stopped delivering data while new ones work.", "Check middleboxes between the hosts."),
