--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -48,7 +48,11 @@
     tick();
 }
 
-ControlHost::~ControlHost() { loop_.cancel(timer_); }
+ControlHost::~ControlHost()
+{
+    loop_.cancel(timer_);
+    loop_.cancel(publishTimer_);
+}
 
 bool ControlHost::listen()
 {
@@ -159,6 +163,14 @@
     });
 }
 
+std::vector<Core::HostName> ControlHost::voters() const
+{
+    std::vector<Core::HostName> names;
+    auto const status = replica_.status();
+    std::ranges::transform(status.configuration.voters, std::back_inserter(names), &Consensus::Member::name);
+    return names;
+}
+
 std::optional<Core::Endpoint> ControlHost::leader() const
 {
     auto const leader = replica_.status().leader;
@@ -318,14 +330,13 @@
 
 void ControlHost::publishSoon()
 {
-    if (std::exchange(isPublishScheduled_, true))
-        return;
-    loop_.after(publishDelay, [this] { publish(); });
+    if (publishTimer_.number == 0)
+        publishTimer_ = loop_.after(publishDelay, [this] { publish(); });
 }
 
 void ControlHost::publish()
 {
-    isPublishScheduled_ = false;
+    loop_.cancel(publishTimer_);
     if (!coordinator_)
         return;
     auto const now = loop_.now();
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -44,6 +44,8 @@
     bool knowsPool(Core::PoolName const& pool) const { return replica_.state().pools().contains(pool.value); }
     /// The address of the leader for other hosts of the product, if one is known and it is another host.
     std::optional<Core::Endpoint> leader() const;
+    /// The identities that vote, as far as this host knows.
+    std::vector<Core::HostName> voters() const;
     /// Hands the leadership over before a planned stop.
     void prepareStop() { replica_.transferLeadership(); }
 
@@ -97,7 +99,7 @@
     Core::TimePoint leadingSince_;
     Fleet::ViewUpdate update_;
     std::string wholeFrame_;
-    bool isPublishScheduled_ { false };
+    Net::EventLoop::TimerId publishTimer_;
     Core::TimePoint lastMemberChange_;
     Core::TimePoint lastLeader_;
     Core::TimePoint lastJoin_;
--- a/Libraries/LibControlHost/Replica.cpp
+++ b/Libraries/LibControlHost/Replica.cpp
@@ -14,14 +14,22 @@
     , observer_(observer)
     , node_(settings, std::move(opened.state), Core::Random::fromSystemEntropy().next(), loop.now())
     , storage_(std::make_unique<Storage::StorageThread>(
-          [&loop](std::function<void()> function) { loop.post(std::move(function)); }, std::move(opened.store),
+          [this](std::function<void()> function) { post(std::move(function)); }, std::move(opened.store),
           [this](auto const& result, Core::Duration) { onPersisted(result); }))
 {
-    loop_.post([this] { step(Consensus::Tick {}); });
+    post([this] { step(Consensus::Tick {}); });
 }
 
 Replica::~Replica() { loop_.cancel(timer_); }
 
+void Replica::post(std::function<void()> function)
+{
+    loop_.post([lifetime = std::weak_ptr<int>(lifetime_), function = std::move(function)] {
+        if (!lifetime.expired())
+            function();
+    });
+}
+
 void Replica::deliver(Consensus::Message message) { step(Consensus::MessageReceived { std::move(message) }); }
 
 void Replica::submit(Fleet::Command const& command, std::function<void(SubmitResult)> callback)
@@ -197,7 +205,7 @@
 {
     if (std::exchange(isFlushScheduled_, true))
         return;
-    loop_.post([this] { flush(); });
+    post([this] { flush(); });
 }
 
 void Replica::flush()
--- a/Libraries/LibControlHost/Replica.h
+++ b/Libraries/LibControlHost/Replica.h
@@ -66,9 +66,12 @@
     void flush();
     void scheduleFlush();
     void scheduleTick();
+    /// Runs the function on the loop's thread unless this object is gone by then.
+    void post(std::function<void()>);
     void onPersisted(Core::Result<Consensus::PersistSequence, Storage::StoreError> const&);
 
     Net::EventLoop& loop_;
+    std::shared_ptr<int> const lifetime_ { std::make_shared<int>(0) };
     Telemetry::EventLog& events_;
     ReplicaObserver& observer_;
     Fleet::State state_;
--- /dev/null
+++ b/Tests/LibControlHost/TestControlHost.cpp
@@ -0,0 +1,239 @@
+#include <LibControlHost/ControlHost.h>
+#include <LibStorage/RealDisk.h>
+
+#include <arpa/inet.h>
+#include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <filesystem>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+std::uint16_t freePort()
+{
+    auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    ::bind(fd, reinterpret_cast<sockaddr*>(&address), length);
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+    ::close(fd);
+    return ntohs(address.sin_port);
+}
+
+/// Five control hosts on one loop, each with a directory of its own; the first three are the seeds.
+class Group {
+public:
+    static constexpr std::size_t size = 5;
+
+    Group()
+        : root_(std::filesystem::temp_directory_path() / ("primroseshift-control-" + std::to_string(::getpid())))
+        , events_(Telemetry::EventLog::open({ .file = "/dev/null" }, clock_).value())
+    {
+        std::filesystem::remove_all(root_);
+        for (std::size_t i = 0; i < size; ++i)
+            addresses_.push_back({ "127.0.0.1", freePort() });
+    }
+    ~Group()
+    {
+        hosts_ = {};
+        std::filesystem::remove_all(root_);
+    }
+    Group(Group const&) = delete;
+    Group& operator=(Group const&) = delete;
+
+    void start(std::size_t index, bool isFirstStart)
+    {
+        auto const directory = root_ / std::to_string(index);
+        std::filesystem::create_directories(directory);
+        disks_.at(index) = std::make_unique<Storage::RealDisk>(directory.string());
+        ControlHost::ControlHostSettings settings;
+        settings.address = addresses_[index];
+        settings.seeds = { addresses_.begin(), addresses_.begin() + 3 };
+        auto store = ControlHost::openOrFound(*disks_.at(index), { settings.address, settings.seeds, isFirstStart });
+        BOOST_REQUIRE(!store.isError());
+        identities_.at(index) = store.value().identity;
+        hosts_.at(index)
+            = std::make_unique<ControlHost::ControlHost>(loop_, *events_, settings, std::move(store).value());
+        BOOST_REQUIRE(hosts_.at(index)->listen());
+    }
+
+    void stop(std::size_t index) { hosts_.at(index).reset(); }
+    void stopAll()
+    {
+        for (auto& host : hosts_)
+            host.reset();
+    }
+    void wipe(std::size_t index) { std::filesystem::remove_all(root_ / std::to_string(index)); }
+
+    ControlHost::ControlHost* leader()
+    {
+        for (auto const& host : hosts_) {
+            if (host && host->isLeading())
+                return host.get();
+        }
+        return nullptr;
+    }
+    std::size_t leaderIndex()
+    {
+        return static_cast<std::size_t>(
+            std::ranges::find_if(hosts_, [](auto const& host) { return host && host->isLeading(); }) - hosts_.begin());
+    }
+
+    bool runUntil(std::function<bool()> condition, Core::Duration limit = 10s)
+    {
+        auto const deadline = Core::BootClock::now() + limit;
+        while (!condition() && Core::BootClock::now() < deadline) {
+            loop_.after(5ms, [this] { loop_.stop(); });
+            loop_.run();
+        }
+        return condition();
+    }
+
+    /// Whether all five identities of the running hosts vote.
+    bool isWhole()
+    {
+        auto* const host = leader();
+        if (!host)
+            return false;
+        auto const voters = host->voters();
+        return voters.size() == size && std::ranges::all_of(identities_, [&](auto const& name) {
+            return std::ranges::count(voters, name) == 1;
+        });
+    }
+
+    /// Sends a change until it is acknowledged.
+    bool acknowledge(std::uint64_t version)
+    {
+        bool isAcknowledged = false;
+        bool isWaiting = false;
+        return runUntil([&] {
+            auto* const host = leader();
+            if (host && !isWaiting) {
+                isWaiting = true;
+                host->change(changeOf(version), [&](auto const& result) {
+                    isWaiting = false;
+                    isAcknowledged = !result.isError();
+                });
+            }
+            return isAcknowledged;
+        });
+    }
+
+    /// The version that is read back from the leader.
+    std::uint64_t readBack()
+    {
+        std::uint64_t version = 0;
+        bool isWaiting = false;
+        runUntil([&] {
+            auto* const host = leader();
+            if (host && !isWaiting && version == 0) {
+                isWaiting = true;
+                host->read([&](auto const& state) {
+                    isWaiting = false;
+                    if (!state.isError() && state.value()->pools().contains("pool"))
+                        version = state.value()->pools().at("pool").version;
+                });
+            }
+            return version != 0;
+        });
+        return version;
+    }
+
+private:
+    static Fleet::ItemChange changeOf(std::uint64_t version)
+    {
+        Fleet::ItemChange change;
+        Fleet::PoolItem pool;
+        pool.name = { "pool" };
+        pool.version = version;
+        change.pools.push_back(pool);
+        return change;
+    }
+
+    std::filesystem::path root_;
+    Core::SystemClock clock_;
+    std::unique_ptr<Telemetry::EventLog> events_;
+    Net::EventLoop loop_;
+    std::vector<Core::Endpoint> addresses_;
+    std::array<std::unique_ptr<Storage::RealDisk>, size> disks_;
+    std::array<Core::HostName, size> identities_;
+    std::array<std::unique_ptr<ControlHost::ControlHost>, size> hosts_;
+};
+
+void startAll(Group& group)
+{
+    // In any order; none needs to find the others listening.
+    for (std::size_t const index : { 4, 2, 0, 3, 1 })
+        group.start(index, true);
+    BOOST_REQUIRE(group.runUntil([&] { return group.isWhole(); }));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(FiveHostsThatKnowThreeAddressesFormOneGroup)
+{
+    Group group;
+    startAll(group);
+    BOOST_TEST(group.acknowledge(7));
+    BOOST_TEST(group.readBack() == 7);
+}
+
+BOOST_AUTO_TEST_CASE(WhatWasAcknowledgedSurvivesTheLossOfAllProcesses)
+{
+    Group group;
+    startAll(group);
+    BOOST_REQUIRE(group.acknowledge(7));
+    group.stopAll();
+    for (std::size_t index = 0; index < Group::size; ++index)
+        group.start(index, false);
+    BOOST_TEST(group.readBack() == 7);
+}
+
+// Two disks are lost while all others are without power; and again once the two have caught up.
+BOOST_AUTO_TEST_CASE(WhatWasAcknowledgedSurvivesTwoLostDisksTwice)
+{
+    Group group;
+    startAll(group);
+    std::uint64_t version = 10;
+    for (auto const& [a, b] : { std::pair<std::size_t, std::size_t> { 0, 1 }, { 2, 4 } }) {
+        ++version;
+        BOOST_REQUIRE(group.acknowledge(version));
+        group.stopAll();
+        group.wipe(a);
+        group.wipe(b);
+        for (std::size_t index = 0; index < Group::size; ++index)
+            group.start(index, false);
+        BOOST_TEST(group.readBack() == version);
+        // Within the time after which two more may be lost.
+        BOOST_TEST(group.runUntil([&] { return group.isWhole(); }, 4s));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AFounderThatLostItsDiskDoesNotFoundAnotherGroup)
+{
+    Group group;
+    startAll(group);
+    BOOST_REQUIRE(group.acknowledge(3));
+    for (std::size_t const index : { 0, 1 }) {
+        group.stop(index);
+        group.wipe(index);
+        group.start(index, false);
+    }
+    BOOST_TEST(group.runUntil([&] { return group.isWhole(); }, 5s));
+    BOOST_TEST(group.readBack() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(APlannedStopHandsTheLeadershipOver)
+{
+    Group group;
+    startAll(group);
+    auto const before = group.leaderIndex();
+    group.leader()->prepareStop();
+    BOOST_TEST(group.runUntil([&] { return group.leader() && group.leaderIndex() != before; }, 2s));
+}
--- /dev/null
+++ b/Tests/Platform/TestWire.cpp
@@ -0,0 +1,183 @@
+#include <LibConfig/IniDocument.h>
+
+#include <boost/test/unit_test.hpp>
+#include <platform/NodeSettings.h>
+#include <platform/WireBodies.h>
+#include <platform/WireHeaders.h>
+
+#include <map>
+
+using namespace Platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string const settingsText = R"([host]
+name = edge-1
+ip = 10.1.0.10
+failure-domain = a
+failure-domains = a,b
+first-start = true
+data-directory =
+heartbeat-interval-s = 0.87
+
+[listen]
+callers = 10.1.0.10:8161
+readiness = 10.1.0.10:8167
+control =
+internal-port = 7720
+
+[control]
+seeds = 10.1.0.13:8166,10.2.0.43:8166
+
+[bounds]
+values = GraceS=6,RetryBudgetRatio=0.2,Odd=true
+)";
+
+std::string beatWith(std::string const& info, std::string const& status, std::string const& more = {})
+{
+    return R"({"Address":"10.0.0.9:80","Info":{)" + info + R"(},"Status":{)" + status + "},\"born\":1700" + more + "}";
+}
+
+std::string const goodInfo = R"("Service":"s","Version":"v1","Zone":"a","MaxConcurrency":2)";
+std::string const goodStatus = R"("State":"ready","Seqno":4,"WarmupLeftS":1.5)";
+
+std::string routeWith(std::string const& name, std::string const& value)
+{
+    std::map<std::string, std::string> fields { { "Name", "\"r\"" }, { "Host", "\"h\"" }, { "PathPrefix", "\"/p/\"" },
+        { "Kind", "\"safe\"" }, { "TimeoutS", "1.5" }, { "Service", "\"s\"" }, { "MaxAttempts", "2" },
+        { "Version", "7" } };
+    if (value.empty())
+        fields.erase(name);
+    else
+        fields[name] = value;
+    std::string body = R"({"Upsert":{"Routes":[{)";
+    for (auto const& [key, field] : fields)
+        body += (body.back() == '{' ? "\"" : ",\"") + key + "\":" + field;
+    return body + "}]}}";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(SettingsAreReadFromTheTemplatesText)
+{
+    auto const settings = parseNodeSettings(settingsText, "node");
+    BOOST_REQUIRE(!settings.isError());
+    BOOST_TEST(settings.value().name == "edge-1");
+    BOOST_TEST(settings.value().isFirstStart);
+    BOOST_TEST(!settings.value().control.has_value());
+    BOOST_TEST(settings.value().internalSeeds().at(1).toString() == "10.2.0.43:7720");
+    BOOST_TEST(settings.value().bound("RetryBudgetRatio", 0) == 0.2);
+    BOOST_TEST(settings.value().bound("Missing", 9) == 9);
+}
+
+BOOST_AUTO_TEST_CASE(BadSettingsNameTheirLines)
+{
+    auto text = settingsText;
+    text.replace(text.find("first-start = true"), 18, "first-start = perh");
+    auto const settings = parseNodeSettings(text, "node");
+    BOOST_REQUIRE(settings.isError());
+    BOOST_TEST(settings.error().front().key == "first-start");
+    BOOST_TEST(settings.error().front().line == 6);
+}
+
+BOOST_AUTO_TEST_CASE(TheDeployedTemplateHasEverySettingThatIsRead)
+{
+    auto const text = Config::readFile(std::string(PRIMROSESHIFT_SOURCE_DIR) + "/deploy/node.ini");
+    BOOST_REQUIRE(!text.isError());
+    auto const document = Config::parseIni(text.value(), "node.ini");
+    auto const given = Config::parseIni(settingsText, "settings");
+    for (auto const& section : given.sections) {
+        BOOST_REQUIRE(document.find(section.name) != nullptr);
+        for (auto const& entry : section.entries)
+            BOOST_TEST(document.find(section.name)->find(entry.key) != nullptr);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AHeartbeatIsDecodedIntoTypedFields)
+{
+    auto const beat
+        = parseHeartbeat("i-1", beatWith(goodInfo, goodStatus, R"(,"Holds":[[0,9,7]],"Released":[[10,19,"abc"]])"));
+    BOOST_REQUIRE(!beat.isError());
+    BOOST_TEST(beat.value().server.name.value == "i-1");
+    BOOST_TEST(beat.value().server.slots == 2);
+    BOOST_TEST(beat.value().server.bornMs == 1700);
+    BOOST_TEST((beat.value().warmupLeft == 1500ms));
+    BOOST_TEST(beat.value().holds.at(0).fence == 7);
+    BOOST_TEST(beat.value().released.at(0).handover == "abc");
+}
+
+BOOST_AUTO_TEST_CASE(HeartbeatsOfAnotherWriterAreRejected)
+{
+    for (auto const& body : { std::string("not json"), std::string("[]"), std::string("{}"),
+             beatWith(R"("Service":"s","Version":"v1","Zone":"a")", goodStatus),
+             beatWith(R"("Service":3,"Version":"v1","Zone":"a","MaxConcurrency":2)", goodStatus),
+             beatWith(R"("Service":"s","Version":"v1","Zone":"a","MaxConcurrency":"2")", goodStatus),
+             beatWith(goodInfo, R"("State":"sleepy","Seqno":4,"WarmupLeftS":0)"),
+             beatWith(goodInfo, R"("State":"ready","Seqno":4.5,"WarmupLeftS":0)"),
+             beatWith(goodInfo, R"("State":"ready","Seqno":4,"WarmupLeftS":"0")"),
+             beatWith(goodInfo, goodStatus, R"(,"Holds":[[5,2,7]])"),
+             beatWith(goodInfo, goodStatus, R"(,"Holds":[[0,70000,7]])"),
+             beatWith(goodInfo, goodStatus, R"(,"Holds":7)") })
+        BOOST_TEST(parseHeartbeat("i-1", body).isError(), body);
+}
+
+BOOST_AUTO_TEST_CASE(AnInvalidConfigurationIsRejected)
+{
+    BOOST_TEST(!parseChange(routeWith("Name", "\"r\"")).isError());
+    for (auto const& body :
+        { std::string("{\"Upsert\":{\"Routes\":[{\"Name\":"), std::string("[]"), routeWith("TimeoutS", "601"),
+            routeWith("TimeoutS", "0"), routeWith("TimeoutS", ""), routeWith("Host", "\"\""), routeWith("Host", ""),
+            routeWith("Kind", "\"odd\""), routeWith("PathPrefix", "\"p\""), routeWith("Version", ""),
+            routeWith("Service", ""), routeWith("Version", "\"7\"") })
+        BOOST_TEST(parseChange(body).isError(), body);
+}
+
+BOOST_AUTO_TEST_CASE(ItemsAreReadBackAsTheyWereSent)
+{
+    Fleet::State state;
+    Fleet::Command command;
+    auto change = parseChange(
+        R"({"Upsert":{"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/","Kind":"upload","TimeoutS":1.5,)"
+        R"("Service":"s","Version":7,"Extra":{"a":[1,null]}}],"Services":[{"Name":"s","Version":3}],)"
+        R"("Limits":{"MaxHeaderBytes":1,"MaxBodyBytes":2,"HeaderTimeoutS":3,"IdleTimeoutS":4,"Version":1}}})");
+    BOOST_REQUIRE(!change.isError());
+    command.items = std::move(change).value();
+    state.apply(command);
+    auto const body = nlohmann::json::parse(formatItems(state));
+    BOOST_TEST(body["Routes"][0]["Extra"]["a"][0] == 1);
+    BOOST_TEST(body["Routes"][0]["TimeoutS"] == 1.5);
+    BOOST_TEST(body["Services"][0]["Version"] == 3);
+    BOOST_TEST(body["Limits"]["IdleTimeoutS"] == 4);
+}
+
+BOOST_AUTO_TEST_CASE(AGrantIsARowForEachRange)
+{
+    Fleet::Grant grant;
+    grant.hold = 4s;
+    grant.ranges.push_back({ 0, 9, 3, 12, "hand" });
+    auto const body = nlohmann::json::parse(formatGrant(grant, { "10.0.0.1", 80 }));
+    BOOST_TEST(body["Holds"].dump() == R"([[0,9,12,"hand"]])");
+    BOOST_TEST(body["HoldS"] == 4);
+    BOOST_TEST(!nlohmann::json::parse(formatGrant(std::nullopt, { "10.0.0.1", 80 })).contains("Holds"));
+}
+
+BOOST_AUTO_TEST_CASE(HeadersAreDecodedOnce)
+{
+    WireHeaders const headers;
+    Proxy::MessageHead head;
+    head.fields = { { "X-Attempt-Id", "abc" }, { "X-Deadline-Ms", "300" }, { "X-Shard-Key", "65535" },
+        { "X-Server-Load", "3,1,4,250" }, { "X-Not-Executed", "1" } };
+    auto const request = headers.readRequest(head);
+    BOOST_TEST(request.attemptId == "abc");
+    BOOST_TEST((*request.timeLeft == 300ms));
+    BOOST_TEST(*request.key == 65535);
+    auto const answer = headers.readAnswer(head);
+    BOOST_TEST(answer.isNotRun);
+    BOOST_TEST(answer.load->running == 3);
+    BOOST_TEST(answer.load->slowness == 2.5);
+    head.fields = { { "X-Shard-Key", "65536" }, { "X-Deadline-Ms", "soon" }, { "X-Server-Load", "3,x" } };
+    BOOST_TEST(!headers.readRequest(head).key.has_value());
+    BOOST_TEST(!headers.readRequest(head).timeLeft.has_value());
+    BOOST_TEST(!headers.readAnswer(head).load.has_value());
+}
