Take nothing more 2.9 s after the request to stop

Change: after 2.9 s the listener closes and requests on open connections are refused, which is true and quick. Test: AHostThatIsAboutToEndTakesNothingMore.

--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -10,6 +10,9 @@
     constexpr Core::Duration reportInterval = std::chrono::milliseconds(500);
     /// A balancer that asks once a second and needs two refusals has noticed by then.
     constexpr Core::Duration balancerDelay = std::chrono::milliseconds(2600);
+    /// Requests that come later would be cut off by the end of the process. A balancer may go on sending connections where
+    /// no other host is ready.
+    constexpr Core::Duration takingTime = std::chrono::milliseconds(2900);
     constexpr Core::Duration stopCheckInterval = std::chrono::milliseconds(50);
     /// Kept from the grace, so that the process ends by itself.
     constexpr Core::Duration stopMargin = std::chrono::milliseconds(600);
@@ -57,6 +60,8 @@
 void EntryHost::continueStop()
 {
     auto const elapsed = loop_.now() - stopBegan_;
+    if (elapsed >= takingTime)
+        gateway_.stopTaking();
     if (elapsed >= balancerDelay)
         gateway_.closeIdleConnections();
     auto const isDone = elapsed >= balancerDelay && gateway_.connectionCount() == 0;
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -69,6 +69,10 @@
 /// False if the request was answered already.
 bool Exchange::readTerms()
 {
+    if (!gateway_.isTaking_) {
+        refuse("stopping", {});
+        return false;
+    }
     if (!gateway_.view_.isConfigured()) {
         refuse("no-configuration", defaultRetryAfter);
         return false;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -36,6 +36,12 @@
 
 void Gateway::startDraining() { server_->startDraining(); }
 
+void Gateway::stopTaking()
+{
+    isTaking_ = false;
+    server_->stopListening();
+}
+
 void Gateway::apply(Fleet::ViewUpdate const& update)
 {
     for (auto const number : view_.apply(update, loop_.now())) {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -44,6 +44,8 @@
     bool isReady() const { return view_.isConfigured(); }
     /// Answers close their connections from now on.
     void startDraining();
+    /// Takes no new connections, and refuses what still arrives on the open ones.
+    void stopTaking();
     void closeIdleConnections() { server_->closeIdle(); }
     std::size_t connectionCount() const { return server_ ? server_->connectionCount() : 0; }
     std::size_t requestCount() const { return exchanges_.size(); }
@@ -79,6 +81,7 @@
     std::map<Fleet::ServerNumber, Fleet::LoadReport::Latency> latencies_;
     std::vector<Fleet::LoadReport::Suspicion> suspicions_;
     GatewayCounters counters_;
+    bool isTaking_ { true };
     ServerLinks links_;
     std::map<Net::ExchangeId, std::unique_ptr<Exchange>> exchanges_;
     std::unique_ptr<Net::HttpServer> server_;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -65,6 +65,8 @@
     void respond(ExchangeId, HttpResponse const&);
     /// From now on every answer closes its connection.
     void startDraining() { isDraining_ = true; }
+    /// New connections are reset from now on.
+    void stopListening() { listener_.reset(); }
     /// Closes connections that wait for no answer and have sent nothing of a request.
     void closeIdle();
     std::size_t connectionCount() const { return connections_.size(); }
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -468,4 +468,21 @@
     BOOST_TEST(headerOf(caller->received(), "Connection") == "close");
 }
 
+// A balancer without another host went on sending connections to one that was about to end; its last requests were cut.
+BOOST_AUTO_TEST_CASE(AHostThatIsAboutToEndTakesNothingMore)
+{
+    configure();
+    auto const open = ask(request("/safe/x", "1"));
+    open->forget();
+    gateway.startDraining();
+    gateway.stopTaking();
+    auto const late = connect();
+    BOOST_TEST(runUntil(loop, [&] { return late->isEnded(); }));
+    // This connection was told of no close, since its last answer came before the drain.
+    open->send(request("/safe/x", "2"));
+    open->waitForAnswer();
+    BOOST_TEST(open->status() == "503");
+    BOOST_TEST(a.requests().size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
