Move keys when their next owner is about to ask; split hot ranges; free the keys of ended servers; queue up to the target

Change: a range is taken from its owner with the heartbeat that the next owner's follows within 0.5 s, and draining or evacuated owners go on serving their keys for 1 s and 3 s; ranges that overload their owner are cut by the load of their keys; three refused connections within 0.9 s, without an answer or heartbeat, free a server's keys before its hold ends; requests wait at a server only as long as the target of their route allows.

--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -1,4 +1,5 @@
 #include <LibFleet/Coordinator.h>
+#include <LibFleet/View.h>
 
 #include <algorithm>
 
@@ -17,11 +18,32 @@
     constexpr Core::Duration balanceInterval = std::chrono::milliseconds(500);
     /// A range stays this long where it was moved to.
     constexpr Core::Duration moveCooldown = std::chrono::seconds(4);
-    /// Weight of the newest interval in the load of a range. Half of a change shows after one second.
-    constexpr double loadSmoothing = 0.3;
+    /// Weight of the newest interval in the load of a key. Two thirds of a change show after one second.
+    constexpr double loadSmoothing = 0.4;
     /// Requests a second that a range counts for beside those measured, so that servers that joined get ranges.
     constexpr double baseLoad = 0.02;
+    /// A key whose load has fallen below this is forgotten.
+    constexpr double negligibleLoad = 0.02;
     constexpr double latencySmoothing = 0.3;
+    /// Of a request, until any was measured.
+    constexpr double assumedServiceSeconds = 0.1;
+    /// From the answer that takes a range away until its release is committed: the work that is under way, the next
+    /// heartbeat within 100 ms, and a write to the disks.
+    constexpr Core::Duration releaseTime = std::chrono::milliseconds(200);
+    /// A new owner is worth waiting a heartbeat for if it is told within this time after the old one.
+    constexpr Core::Duration goodHandover = std::chrono::milliseconds(500);
+    /// Entry hosts stop sending to a draining owner after this time.
+    constexpr Core::Duration drainPatience = View::drainGrace;
+    /// A move for another reason waits this long for a good moment. Entry hosts give an evacuated owner longer.
+    constexpr Core::Duration movePatience = std::chrono::milliseconds(2200);
+    static_assert(movePatience < View::evacuationGrace);
+    /// Refused connections that prove a process to have ended, if nothing was heard of it for this long.
+    constexpr std::uint32_t refusalsOfEnded = 3;
+    constexpr Core::Duration refusalTime = std::chrono::milliseconds(900);
+    /// Parts that a hot range is cut into at once.
+    constexpr std::size_t splitParts = 8;
+    /// A range is hot if it alone takes this part of what its owner bears.
+    constexpr double hotPart = 0.3;
     /// Bounds of the measured speed of a server relative to its pool.
     constexpr double minSpeed = 0.4;
     constexpr double maxSpeed = 2.0;
@@ -90,6 +112,41 @@
     return beat.server.bornMs == known.bornMs && found != servers_.end() && beat.sequence <= found->second.lastSequence;
 }
 
+bool Coordinator::hasEnded(ServerNumber number, Core::TimePoint now) const
+{
+    auto const found = servers_.find(number);
+    if (found == servers_.end() || !found->second.hasBeat)
+        return false;
+    auto const& server = found->second;
+    auto const isOverdue = now - server.lastBeat > settings_.beatInterval * 5 / 4;
+    return server.refusals >= refusalsOfEnded && now - server.refusedSince >= refusalTime && isOverdue;
+}
+
+Core::TimePoint Coordinator::nextBeat(ServerNumber number, Core::TimePoint from) const
+{
+    auto const found = servers_.find(number);
+    if (found == servers_.end() || !found->second.hasBeat)
+        return from + settings_.beatInterval;
+    auto const since = from - found->second.lastBeat;
+    if (since <= Core::Duration::zero())
+        return found->second.lastBeat;
+    auto const beats = (since + settings_.beatInterval - Core::Duration(1)) / settings_.beatInterval;
+    return found->second.lastBeat + beats * settings_.beatInterval;
+}
+
+/// Whether a range that has a next owner is taken away with this heartbeat of its owner, or with a later one that the
+/// next owner's heartbeat follows sooner.
+bool Coordinator::mustRevokeNow(RangeState const& state, ServerRecord const& owner, Core::TimePoint now) const
+{
+    if (state.isRevoked || state.isProposed)
+        return true;
+    auto const patience = owner.isDraining ? drainPatience : movePatience;
+    // The next heartbeat would be too late.
+    if (now - state.targetSince + settings_.beatInterval >= patience)
+        return true;
+    return nextBeat(state.target, now + releaseTime) - now <= goodHandover;
+}
+
 std::optional<Command> Coordinator::admit(Heartbeat const& beat) const
 {
     auto const* const known = state_.findServer(beat.server.name);
@@ -131,6 +188,7 @@
     server.lastSequence = beat.sequence;
     server.lastBeat = now;
     server.hasBeat = true;
+    server.refusals = 0;
     auto const coldUntil = beat.warmupLeft > Core::Duration::zero() ? now + beat.warmupLeft : Core::TimePoint {};
     if ((coldUntil > now) != (server.coldUntil > now))
         coldChanges_.push_back(known->number);
@@ -141,7 +199,7 @@
     settleReleases(*known, beat);
     if (known->isDraining || !mayOwn(*known, now))
         planPool(*pool, now);
-    auto grant = makeGrant(*known, beat);
+    auto grant = makeGrant(*known, beat, now);
     auto const hold = std::chrono::duration_cast<Core::Duration>(settings_.hold * (1 + settings_.clockDrift));
     leases_[known->number] = receivedAt + hold + leaseMargin;
     return grant;
@@ -167,7 +225,7 @@
     }
 }
 
-Grant Coordinator::makeGrant(ServerRecord const& server, Heartbeat const& beat)
+Grant Coordinator::makeGrant(ServerRecord const& server, Heartbeat const& beat, Core::TimePoint now)
 {
     Grant grant;
     grant.hold = settings_.hold;
@@ -178,7 +236,7 @@
             continue;
         auto& state = soft[range.first];
         auto const isLeaving = (state.target != 0 && state.target != server.number) || state.isProposed;
-        if (isLeaving) {
+        if (isLeaving && mustRevokeNow(state, server, now)) {
             state.isRevoked = true;
             publish(server.pool, range, state);
             continue;
@@ -197,8 +255,9 @@
         bytes += needed;
         grant.ranges.push_back({ range.first, range.last, range.owner, range.fence, handover });
         state.isGranted = true;
+        if (!isLeaving)
+            state.target = 0;
         state.isRevoked = false;
-        state.target = 0;
         publish(server.pool, range, state);
     }
     return grant;
@@ -237,6 +296,19 @@
                 publish(pool, range, states[range.first]);
         }
     }
+    for (auto const& split : command.splits) {
+        auto& soft = ranges_[split.pool];
+        auto const next = soft.upper_bound(split.before - 1);
+        if (next == soft.begin() || (next != soft.end() && next->first == split.before))
+            continue;
+        soft[split.before] = std::prev(next)->second;
+        wasSplit_ = true;
+        for (auto const& range : state_.keys(split.pool)) {
+            // Entry hosts learn the new borders.
+            if (range.first == split.before || range.last + 1 == split.before)
+                rows_.push_back({ split.pool, range.first, range.last, soft[range.first].published, 0 });
+        }
+    }
     for (auto const& assignment : command.assignments) {
         auto& state = ranges_[assignment.pool][assignment.first];
         state.isProposed = false;
@@ -290,13 +362,16 @@
 void Coordinator::onReport(Core::TimePoint now, LoadReport const& report)
 {
     for (auto const& arrivals : report.arrivals) {
-        auto const keys = state_.keys(arrivals.pool);
-        auto& soft = ranges_[arrivals.pool];
-        for (auto const& [key, count] : arrivals.keys) {
-            auto const range = std::ranges::lower_bound(keys, key, {}, &KeyRange::last);
-            if (range != keys.end())
-                soft[range->first].arrivals += count;
-        }
+        auto& counts = keyArrivals_[arrivals.pool];
+        for (auto const& [key, count] : arrivals.keys)
+            counts[key] += count;
+    }
+    for (auto const& contact : report.contacts) {
+        auto& server = servers_[contact.server];
+        if (contact.answers > 0)
+            server.refusals = 0;
+        else if (std::exchange(server.refusals, server.refusals + contact.refusals) == 0)
+            server.refusedSince = now;
     }
     for (auto const& latency : report.latencies) {
         if (latency.answers == 0)
@@ -324,7 +399,7 @@
 
 bool Coordinator::mayOwn(ServerRecord const& server, Core::TimePoint now) const
 {
-    if (server.isDraining || state_.evacuated().contains(server.domain.value))
+    if (server.isDraining || state_.evacuated().contains(server.domain.value) || hasEnded(server.number, now))
         return false;
     auto const found = servers_.find(server.number);
     // A new leader counts servers in until they had time for a heartbeat.
@@ -332,7 +407,23 @@
     return now - lastBeat <= settings_.beatInterval * maxMissedBeats;
 }
 
-std::vector<PlacementServer> Coordinator::placementServers(Core::PoolName const& pool, Core::TimePoint now) const
+double Coordinator::meanServiceSeconds(Core::PoolName const& pool) const
+{
+    constexpr double millisecondsPerSecond = 1000;
+    double sum = 0;
+    std::size_t count = 0;
+    for (auto const& [number, server] : state_.servers()) {
+        auto const found = servers_.find(number);
+        if (server.pool != pool || found == servers_.end() || found->second.meanMs == 0)
+            continue;
+        sum += found->second.meanMs;
+        ++count;
+    }
+    return count == 0 ? assumedServiceSeconds : sum / static_cast<double>(count) / millisecondsPerSecond;
+}
+
+std::vector<PlacementServer> Coordinator::placementServers(
+    Core::PoolName const& pool, Core::TimePoint now, Core::TimePoint from) const
 {
     std::vector<PlacementServer> warm;
     std::vector<PlacementServer> cold;
@@ -343,6 +434,7 @@
             continue;
         auto& list = isCold(number, now) ? cold : warm;
         list.push_back({ number, static_cast<double>(server.slots) });
+        list.back().delay = std::chrono::duration<double>(nextBeat(number, from) - now) / settings_.beatInterval;
         auto const found = servers_.find(number);
         if (found != servers_.end() && found->second.meanMs > 0) {
             sumMs += found->second.meanMs;
@@ -381,10 +473,13 @@
             pending_.servers.removed.push_back(number);
     }
     plan(now);
-    if (now - lastBalance_ < balanceInterval)
+    auto const isDue = now - lastBalance_ >= balanceInterval;
+    if (!isDue && !std::exchange(wasSplit_, false))
         return;
-    lastBalance_ = now;
-    updateLoads();
+    if (isDue) {
+        lastBalance_ = now;
+        updateLoads();
+    }
     for (auto const& [name, pool] : state_.pools()) {
         if (pool.item && pool.item->isKeyDivided)
             balancePool(*pool.item, now);
@@ -394,11 +489,54 @@
 void Coordinator::updateLoads()
 {
     auto const seconds = std::chrono::duration<double>(balanceInterval).count();
+    for (auto const& [pool, counts] : keyArrivals_) {
+        auto& loads = keyLoads_[pool];
+        for (auto const& [key, count] : counts)
+            loads.try_emplace(key, 0);
+        for (auto& [key, load] : loads) {
+            auto const arrived = counts.find(key);
+            auto const rate = arrived == counts.end() ? 0 : arrived->second / seconds;
+            load += loadSmoothing * (rate - load);
+        }
+        std::erase_if(loads, [](auto const& entry) { return entry.second < negligibleLoad; });
+    }
+    for (auto& [pool, counts] : keyArrivals_)
+        counts.clear();
     for (auto& [pool, states] : ranges_) {
-        for (auto& [first, state] : states) {
-            auto const rate = state.arrivals / seconds;
-            state.load += loadSmoothing * (rate - state.load);
-            state.arrivals = 0;
+        auto const& loads = keyLoads_[pool];
+        for (auto const& range : state_.keys(pool)) {
+            auto& state = states[range.first];
+            state.load = 0;
+            for (auto key = loads.lower_bound(range.first); key != loads.end() && key->first <= range.last; ++key)
+                state.load += key->second;
+        }
+    }
+}
+
+/// Cuts hot ranges of overloaded servers into parts of about the same load, so that they can be spread.
+void Coordinator::splitHotRanges(PoolItem const& pool, std::span<PlacementServer const> servers, Core::TimePoint)
+{
+    auto const service = meanServiceSeconds(pool.name);
+    auto const& loads = keyLoads_[pool.name];
+    auto& soft = ranges_[pool.name];
+    for (auto const& range : state_.keys(pool.name)) {
+        auto const owner = std::ranges::lower_bound(servers, range.owner, {}, &PlacementServer::number);
+        if (owner == servers.end() || owner->number != range.owner || range.first == range.last)
+            continue;
+        auto const& state = soft[range.first];
+        auto const isBusy = owner->utilization() * service > 1 - hotPart;
+        auto const isHot = state.load * service > hotPart * owner->capacity;
+        if (!isBusy || !isHot || state.isProposed || owner->ranges + splitParts > RangePlacement::maxRangesPerServer)
+            continue;
+        double sum = 0;
+        std::size_t part = 1;
+        for (auto key = loads.lower_bound(range.first); key != loads.end() && key->first <= range.last; ++key) {
+            auto const border = state.load * static_cast<double>(part) / splitParts;
+            if (sum >= border && key->first > range.first) {
+                pending_.splits.push_back({ pool.name, key->first });
+                ++part;
+            }
+            sum += key->second;
         }
     }
 }
@@ -423,7 +561,7 @@
     std::optional<std::vector<PlacementServer>> servers;
     auto const choose = [&](RangeState const& state) {
         if (!servers)
-            servers = placementServers(pool.name, now);
+            servers = placementServers(pool.name, now, now + releaseTime);
         auto const* const server = RangePlacement::choose(*servers, baseLoad + state.load);
         return server ? server->number : ServerNumber { 0 };
     };
@@ -432,7 +570,7 @@
         if (state.isProposed)
             continue;
         auto const* const owner = state_.findServer(range.owner);
-        auto const isFree = range.owner == 0 || now >= leaseEnd(range.owner);
+        auto const isFree = range.owner == 0 || now >= leaseEnd(range.owner) || hasEnded(range.owner, now);
         if (owner && !isFree && mayOwn(*owner, now)) {
             // The target may have left since it was chosen.
             auto const* const target = state_.findServer(state.target);
@@ -444,8 +582,10 @@
             continue;
         }
         auto const* const target = state_.findServer(state.target);
-        if (state.target == 0 || !target || !mayOwn(*target, now) || state.target == range.owner)
+        if (state.target == 0 || !target || !mayOwn(*target, now) || state.target == range.owner) {
             state.target = choose(state);
+            state.targetSince = now;
+        }
         if (isFree && state.target != 0)
             propose(pool.name, range, state, state.target, {});
     }
@@ -456,7 +596,7 @@
     auto const joined = lastJoin_.find(pool.name);
     if (joined == lastJoin_.end() || now - joined->second < settleTime)
         return;
-    auto servers = placementServers(pool.name, now);
+    auto servers = placementServers(pool.name, now, now);
     auto assignments = RangePlacement::layOut(pool.name, servers);
     for (auto& assignment : assignments) {
         auto& state = ranges_[pool.name][assignment.first];
@@ -476,14 +616,18 @@
         if (state.target == 0 && !state.isProposed && state.isGranted && now - state.movedAt >= moveCooldown)
             movable.push_back({ i, keys[i].owner, baseLoad + state.load });
     }
-    auto servers = placementServers(pool.name, now);
-    for (auto const& move : RangePlacement::balance(servers, std::move(movable)))
-        soft[keys[move.index].first].target = move.to;
+    auto servers = placementServers(pool.name, now, now);
+    splitHotRanges(pool, servers, now);
+    for (auto const& move : RangePlacement::balance(servers, std::move(movable), meanServiceSeconds(pool.name))) {
+        auto& state = soft[keys[move.index].first];
+        state.target = move.to;
+        state.targetSince = now;
+    }
 }
 
 std::optional<Command> Coordinator::takeCommand()
 {
-    auto const isEmpty = pending_.assignments.empty() && pending_.servers.removed.empty();
+    auto const isEmpty = pending_.assignments.empty() && pending_.splits.empty() && pending_.servers.removed.empty();
     if (isEmpty)
         return std::nullopt;
     return std::exchange(pending_, {});
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -67,14 +67,23 @@
         std::string fingerprint;
         ServerNumber server { 0 };
     };
+    /// How a server was met since the last report.
+    struct Contact {
+        ServerNumber server { 0 };
+        std::uint32_t answers { 0 };
+        /// Connections that its address refused since nothing listened there.
+        std::uint32_t refusals { 0 };
+    };
     std::vector<Arrivals> arrivals;
+    std::vector<Contact> contacts;
     std::vector<Latency> latencies;
     std::vector<Suspicion> suspicions;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Arrivals, pool, keys)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Latency, server, answers, sumMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Suspicion, fingerprint, server)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport, arrivals, latencies, suspicions)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Contact, server, answers, refusals)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport, arrivals, contacts, latencies, suspicions)
 
 /// Where entry hosts send requests on a range of keys. Without an owner they wait or refuse.
 struct RangeRow {
@@ -125,6 +134,9 @@
         /// Mean time of an unqueued answer in milliseconds; zero before the first report.
         double meanMs { 0 };
         bool hasBeat { false };
+        /// Refusals since the server was last heard of in any way, and when the first of them was reported.
+        std::uint32_t refusals { 0 };
+        Core::TimePoint refusedSince;
     };
     struct RangeState {
         /// Who is to own the range next.
@@ -136,8 +148,9 @@
         /// The owner was told that it holds the range.
         bool isGranted { false };
         Core::TimePoint movedAt;
+        /// When the range was first to move to another server.
+        Core::TimePoint targetSince;
         double load { 0 };
-        std::uint32_t arrivals { 0 };
         ServerNumber published { 0 };
     };
     using RangeStates = std::map<std::uint32_t, RangeState>;
@@ -147,16 +160,25 @@
     };
 
     Core::TimePoint leaseEnd(ServerNumber) const;
+    /// The process of this life is proved to have ended: its address refuses connections, and nothing else is heard.
+    bool hasEnded(ServerNumber, Core::TimePoint now) const;
+    /// When the server's next heartbeat from a point in time on is expected.
+    Core::TimePoint nextBeat(ServerNumber, Core::TimePoint from) const;
+    bool mustRevokeNow(RangeState const&, ServerRecord const& owner, Core::TimePoint now) const;
+    void splitHotRanges(PoolItem const&, std::span<PlacementServer const>, Core::TimePoint now);
     bool isStale(ServerRecord const&, Heartbeat const&) const;
     bool mayOwn(ServerRecord const&, Core::TimePoint now) const;
     bool isCold(ServerNumber, Core::TimePoint now) const;
-    std::vector<PlacementServer> placementServers(Core::PoolName const&, Core::TimePoint now) const;
+    /// `from` is when a range could be taken over.
+    std::vector<PlacementServer> placementServers(
+        Core::PoolName const&, Core::TimePoint now, Core::TimePoint from) const;
+    double meanServiceSeconds(Core::PoolName const&) const;
     void plan(Core::TimePoint now);
     void planPool(PoolItem const&, Core::TimePoint now);
     void layOut(PoolItem const&, Core::TimePoint now);
     void balancePool(PoolItem const&, Core::TimePoint now);
     void settleReleases(ServerRecord const&, Heartbeat const&);
-    Grant makeGrant(ServerRecord const&, Heartbeat const&);
+    Grant makeGrant(ServerRecord const&, Heartbeat const&, Core::TimePoint now);
     void propose(Core::PoolName const&, KeyRange const&, RangeState&, ServerNumber to, std::string handover);
     void publish(Core::PoolName const&, KeyRange const&, RangeState&);
     void updateLoads();
@@ -170,10 +192,14 @@
     std::unordered_map<ServerNumber, Core::TimePoint> leases_;
     std::map<Core::PoolName, RangeStates> ranges_;
     std::map<Core::PoolName, Core::TimePoint> lastJoin_;
+    /// Requests a second by key, of keys that had any lately.
+    std::map<Core::PoolName, std::map<std::uint32_t, double>> keyLoads_;
+    std::map<Core::PoolName, std::map<std::uint32_t, std::uint32_t>> keyArrivals_;
     Command pending_;
     std::vector<RangeRow> rows_;
     std::vector<ServerNumber> coldChanges_;
     Core::TimePoint lastBalance_;
+    bool wasSplit_ { false };
     std::unordered_map<ServerNumber, std::vector<Suspicion>> suspicions_;
     Policy::CrashLedger crashes_;
     std::map<Core::Digest, std::string> fingerprints_;
--- a/Libraries/LibFleet/Model.h
+++ b/Libraries/LibFleet/Model.h
@@ -145,14 +145,22 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Assignment, pool, first, last, owner, handover)
 
+/// Cuts a range before a key. Both parts keep the owner and the fencing token.
+struct RangeSplit {
+    Core::PoolName pool;
+    std::uint32_t before { 0 };
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RangeSplit, pool, before)
+
 /// One entry of the replicated log. Any part may be empty.
 struct Command {
     std::optional<ItemChange> items;
     std::optional<DomainChange> domain;
     ServerChange servers;
+    std::vector<RangeSplit> splits;
     std::vector<Assignment> assignments;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Command, items, domain, servers, assignments)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Command, items, domain, servers, splits, assignments)
 
 /// Consecutive keys with one owner.
 struct KeyRange {
--- a/Libraries/LibFleet/RangePlacement.cpp
+++ b/Libraries/LibFleet/RangePlacement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace Fleet {
 
@@ -17,7 +18,13 @@
     constexpr std::size_t maxRanges = 4096;
     /// Utilizations within these multiples of the mean are left alone.
     constexpr double imbalanceLimit = 1.25;
-    constexpr double idlenessLimit = 0.75;
+    constexpr double idlenessLimit = 0.4;
+    /// A server that joined is filled up to this multiple of the mean.
+    constexpr double fillLimit = 0.9;
+    /// Slots in use above which an imbalance is worth a move.
+    constexpr double busyLimit = 0.5;
+    /// Weight of utilization that does not depend on how soon a server can take over.
+    constexpr double delayBase = 0.5;
     /// A move must leave the receiver below this multiple of the mean.
     constexpr double receiverLimit = 1.05;
     /// Moves of one round. A moving range is not served for about a heartbeat interval.
@@ -45,7 +52,7 @@
     for (auto& server : servers) {
         if (!mayReceive(server))
             continue;
-        auto const utilization = (server.load + load) / server.capacity;
+        auto const utilization = (server.load + load) / server.capacity * (delayBase + server.delay);
         if (!best || utilization < bestUtilization) {
             best = &server;
             bestUtilization = utilization;
@@ -59,17 +66,25 @@
 }
 
 std::vector<PlacementMove> RangePlacement::balance(
-    std::span<PlacementServer> servers, std::vector<PlacementRange> movable)
+    std::span<PlacementServer> servers, std::vector<PlacementRange> movable, double serviceSeconds)
 {
     std::vector<PlacementMove> moves;
     auto const mean = meanUtilization(servers);
+    std::set<ServerNumber> idle;
+    for (auto const& server : servers) {
+        if (server.utilization() < mean * idlenessLimit)
+            idle.insert(server.number);
+    }
     std::ranges::sort(movable, std::greater {}, &PlacementRange::load);
     while (moves.size() < maxMovesPerRound && servers.size() > 1) {
         auto const giver = std::ranges::max_element(servers, {}, &PlacementServer::utilization);
         auto const receiver = std::ranges::min_element(servers, {}, [](auto const& server) {
             return mayReceive(server) ? server.utilization() : std::numeric_limits<double>::infinity();
         });
-        if (giver->utilization() <= mean * imbalanceLimit && receiver->utilization() >= mean * idlenessLimit)
+        auto const isOverloaded
+            = giver->utilization() > mean * imbalanceLimit && giver->utilization() * serviceSeconds > busyLimit;
+        auto const isFilling = idle.contains(receiver->number) && receiver->utilization() < mean * fillLimit;
+        if (!isOverloaded && !isFilling)
             break;
         // The largest range that fits: it relieves the giver with the fewest moves.
         auto const fits = [&](PlacementRange const& range) {
--- a/Libraries/LibFleet/RangePlacement.h
+++ b/Libraries/LibFleet/RangePlacement.h
@@ -14,6 +14,8 @@
     /// Requests a second on the ranges that it owns or is to get.
     double load { 0 };
     std::size_t ranges { 0 };
+    /// How long until it can take over a range, as a part of the heartbeat interval.
+    double delay { 0 };
 
     double utilization() const { return load / capacity; }
 };
@@ -38,11 +40,13 @@
 /// time, and only while the imbalance is worth the time during which a moving range is not served.
 class RangePlacement {
 public:
-    /// The server that would be least utilized after it got this load. Null if none may get a range.
+    /// The server that would be least utilized after it got this load, those preferred that can take over soon. Null if
+    /// none may get a range.
     static PlacementServer* choose(std::span<PlacementServer>, double load);
 
-    /// The moves of one round of balancing. Updates the loads of the servers.
-    static std::vector<PlacementMove> balance(std::span<PlacementServer>, std::vector<PlacementRange> movable);
+    /// The moves of one round of balancing, where a request takes `serviceSeconds`. Updates the loads of the servers.
+    static std::vector<PlacementMove> balance(
+        std::span<PlacementServer>, std::vector<PlacementRange> movable, double serviceSeconds);
 
     /// Borders for the first assignment: ranges of equal length, dealt to the servers in turn.
     static std::vector<Assignment> layOut(Core::PoolName const&, std::span<PlacementServer>);
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -61,6 +61,11 @@
             evacuated_.erase(command.domain->domain.value);
     }
     apply(command.servers, applied);
+    for (auto const& split : command.splits) {
+        auto const ranges = keys_.find(split.pool.value);
+        if (ranges != keys_.end())
+            splitAt(ranges->second, split.before);
+    }
     for (auto const& assignment : command.assignments) {
         // The owner may have left while the command was under way; the range stays with its previous owner.
         if (assignment.owner != 0 && !servers_.contains(assignment.owner))
--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -145,17 +145,17 @@
         indexRoutes();
     }
     if (update.evacuated)
-        evacuated_ = *update.evacuated;
+        applyEvacuations(*update.evacuated, now);
     if (update.isWhole) {
         for (auto const& [number, server] : servers_) {
             if (std::ranges::none_of(update.servers, [&](auto const& row) { return row.server.number == number; }))
                 gone.push_back(number);
         }
-        servers_.clear();
         ranges_.clear();
     }
-    for (auto const& row : update.servers)
-        servers_[row.server.number] = { row.server, now + std::chrono::milliseconds(row.coldMs) };
+    applyServers(update, now);
+    if (update.isWhole)
+        std::erase_if(servers_, [&](auto const& entry) { return std::ranges::count(gone, entry.first) > 0; });
     for (auto const number : update.removedServers)
         servers_.erase(number);
     for (auto const& row : update.ranges.rows)
@@ -167,6 +167,25 @@
     return gone;
 }
 
+void View::applyEvacuations(std::set<std::string> const& domains, Core::TimePoint now)
+{
+    std::erase_if(evacuated_, [&](auto const& entry) { return !domains.contains(entry.first); });
+    for (auto const& domain : domains)
+        evacuated_.try_emplace(domain, now);
+}
+
+void View::applyServers(ViewUpdate const& update, Core::TimePoint now)
+{
+    for (auto const& row : update.servers) {
+        auto const isNew = !servers_.contains(row.server.number);
+        auto& server = servers_[row.server.number];
+        server.record = row.server;
+        server.coldUntil = now + std::chrono::milliseconds(row.coldMs);
+        if (row.server.isDraining && !server.drainingSince)
+            server.drainingSince = isNew || update.isWhole ? now - drainGrace : now;
+    }
+}
+
 void View::indexRoutes()
 {
     routesByHost_.clear();
@@ -218,6 +237,14 @@
     return static_cast<std::uint32_t>(found - entryHosts_.begin());
 }
 
+bool View::mayServeKeys(ViewServer const& server, Core::TimePoint now) const
+{
+    if (server.drainingSince && now - *server.drainingSince >= drainGrace)
+        return false;
+    auto const evacuated = evacuated_.find(server.record.domain.value);
+    return evacuated == evacuated_.end() || now - evacuated->second < evacuationGrace;
+}
+
 KeyOwner const* View::findOwner(Core::PoolName const& pool, std::uint32_t key) const
 {
     auto const ranges = ranges_.find(pool);
--- a/Libraries/LibFleet/View.h
+++ b/Libraries/LibFleet/View.h
@@ -58,6 +58,8 @@
 struct ViewServer {
     ServerRecord record;
     Core::TimePoint coldUntil;
+    /// When this host learned that the server drains. Long past if it did not see the drain begin.
+    std::optional<Core::TimePoint> drainingSince;
 };
 
 /// The owner of a key.
@@ -83,6 +85,15 @@
     std::map<ServerNumber, ViewServer> const& servers() const { return servers_; }
     /// Neither draining nor in a failure domain that is out of service.
     bool mayServe(ServerRecord const&) const;
+    /// The owner of a key is served by for a while longer, until its keys have moved.
+    bool mayServeKeys(ViewServer const&, Core::TimePoint now) const;
+
+    /// How long a draining owner is still sent requests. Within the two seconds that a server's drain may take, with
+    /// time for the news to reach every entry host.
+    static constexpr Core::Duration drainGrace = std::chrono::milliseconds(1000);
+    /// The same for an owner whose failure domain was taken out of service, which may take five seconds.
+    static constexpr Core::Duration evacuationGrace = std::chrono::milliseconds(3000);
+
     /// Null while the pool's keys were never assigned.
     KeyOwner const* findOwner(Core::PoolName const&, std::uint32_t key) const;
     bool isQuarantined(std::string const& fingerprint) const { return quarantined_.contains(fingerprint); }
@@ -93,6 +104,8 @@
 
 private:
     void indexRoutes();
+    void applyEvacuations(std::set<std::string> const&, Core::TimePoint now);
+    void applyServers(ViewUpdate const&, Core::TimePoint now);
 
     bool isConfigured_ { false };
     std::map<std::string, Held<RouteItem>> routes_;
@@ -100,7 +113,8 @@
     /// Routes of each host, the longest prefix first.
     std::map<std::string, std::vector<RouteItem const*>, std::less<>> routesByHost_;
     LimitsItem limits_;
-    std::set<std::string> evacuated_;
+    /// When this host learned of each failure domain that is out of service.
+    std::map<std::string, Core::TimePoint> evacuated_;
     std::map<ServerNumber, ViewServer> servers_;
     /// By the first key of the range.
     std::map<Core::PoolName, std::map<std::uint32_t, std::pair<std::uint32_t, KeyOwner>>> ranges_;
--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -17,6 +17,13 @@
 
     std::int32_t priorityStep(std::int32_t priority) { return std::clamp(priority, 0, maxPriorityStep); }
 
+    /// How long the wait and the work may take together if the request has to wait.
+    Core::Duration waitLimit(AdmissionQuery const& query)
+    {
+        // A request that has missed its target waits for half as long as it still may.
+        return query.leftToTarget > Core::Duration::zero() ? query.leftToTarget : query.left / 2;
+    }
+
 } // namespace
 
 Core::Duration Admission::retryAfter(Core::Duration expectedWait, Core::Duration serviceTime, double lot)
@@ -32,8 +39,8 @@
     auto const wait = server.expectedWait(now);
     auto const needed = wait + std::chrono::duration_cast<Core::Duration>(server.serviceTime() * neededServicePart);
     auto const givenUp = placesPerPriority * priorityStep(query.priority) * server.slots();
-    auto const hasRoom = server.hasRoom(now, givenUp);
-    if (hasRoom && needed <= query.left)
+    auto const patience = wait > Core::Duration::zero() ? std::min(query.left, waitLimit(query)) : query.left;
+    if (server.hasRoom(now, givenUp) && needed <= patience)
         return std::nullopt;
     return Refusal { retryAfter(wait, server.serviceTime(), query.lot) };
 }
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -10,6 +10,8 @@
 struct AdmissionQuery {
     /// Until the caller gives up or the route's timeout ends.
     Core::Duration left {};
+    /// Until the answer is worth less. Zero or less if that time is over.
+    Core::Duration leftToTarget {};
     /// Zero is the most urgent.
     std::int32_t priority { 0 };
     /// Uniform in [0, 1), to spread the returns of refused callers.
@@ -24,8 +26,10 @@
 /// Decides whether a request is sent to its server or refused at once.
 ///
 /// Answers the pattern in which requests for one server arrive faster than it works: what would not be answered in time
-/// is refused before it waits, so that the places are held by requests that are still wanted. Less urgent requests find
-/// fewer places, so that they give way first, but never none.
+/// is refused before it waits, so that the places are held by requests that are still wanted. Beyond the slots a
+/// request waits only if it is expected to be answered within its target: under lasting overload a longer queue makes
+/// every answer late and serves nobody more. Less urgent requests find fewer places, so that they give way first, but
+/// never none.
 class Admission {
 public:
     /// Empty if the request may be sent.
--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -10,8 +10,8 @@
     constexpr Core::Duration reportInterval = std::chrono::milliseconds(500);
     /// A balancer that asks once a second and needs two refusals has noticed by then.
     constexpr Core::Duration balancerDelay = std::chrono::milliseconds(2600);
-    /// Requests that come later would be cut off by the end of the process. A balancer may go on sending connections where
-    /// no other host is ready.
+    /// Requests that come later would be cut off by the end of the process. A balancer may go on sending connections
+    /// where no other host is ready.
     constexpr Core::Duration takingTime = std::chrono::milliseconds(2900);
     constexpr Core::Duration stopCheckInterval = std::chrono::milliseconds(50);
     /// Kept from the grace, so that the process ends by itself.
@@ -42,7 +42,7 @@
 {
     reportTimer_ = loop_.after(reportInterval, [this] { sendReport(); });
     auto const report = gateway_.takeReport();
-    if (!report.arrivals.empty() || !report.latencies.empty() || !report.suspicions.empty())
+    if (!report.arrivals.empty() || !report.contacts.empty() || !report.suspicions.empty())
         link_.report(report);
     events_.reportSuppressed();
 }
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -92,6 +92,7 @@
     if (terms_.timeLeft)
         patience = std::min(patience, *terms_.timeLeft);
     deadline_ = request_.startedAt + patience;
+    target_ = request_.startedAt + std::chrono::milliseconds(route->targetLatencyMs);
     auto const* const share = gateway_.splits_[route_].choose(route->shares);
     if (!share) {
         refuse("no-pool", defaultRetryAfter);
@@ -141,7 +142,7 @@
         gateway_.countArrival(pool_, *terms_.key);
     auto const* const owner = gateway_.view_.findOwner(pool_, *terms_.key);
     auto const* const server = owner ? gateway_.view_.findServer(owner->server) : nullptr;
-    if (!server || !gateway_.view_.mayServe(server->record)) {
+    if (!server || !gateway_.view_.mayServeKeys(*server, gateway_.loop_.now())) {
         waitForOwner(owner ? owner->expectedAt : gateway_.loop_.now() + defaultRetryAfter);
         return;
     }
@@ -158,7 +159,7 @@
         refuse("owner-cold", defaultRetryAfter);
         return;
     }
-    auto const refusal = Admission::check({ left(), priority_, gateway_.random_.unit() }, load, gateway_.loop_.now());
+    auto const refusal = Admission::check(admissionQuery(), load, gateway_.loop_.now());
     if (refusal) {
         refuse("owner-busy", refusal->retryAfter);
         return;
@@ -167,6 +168,11 @@
         refuse("owner-connections", defaultRetryAfter);
 }
 
+AdmissionQuery Exchange::admissionQuery()
+{
+    return { left(), target_ - gateway_.loop_.now(), priority_, gateway_.random_.unit() };
+}
+
 void Exchange::placeAnywhere(Fleet::PoolItem const& pool)
 {
     auto const now = gateway_.loop_.now();
@@ -191,7 +197,7 @@
     std::optional<Refusal> refusal;
     for (auto const& candidate : candidates) {
         auto const& load = gateway_.loadOf(candidate.server->record);
-        auto const refused = Admission::check({ left(), priority_, gateway_.random_.unit() }, load, now);
+        auto const refused = Admission::check(admissionQuery(), load, now);
         if (refused) {
             if (!refusal)
                 refusal = refused;
@@ -277,6 +283,7 @@
             load.onMisdirected(gateway_.loop_.now());
         else
             load.onReachable();
+        gateway_.countAnswer(server_);
         if (terms.load)
             load.onReport(*terms.load, gateway_.loop_.now());
         auto const hasQueued = !wasIdleAtSend_ || (terms.load && terms.load->waiting > 0);
@@ -336,8 +343,10 @@
         { { "request", terms_.attemptId }, { "route", route_.value },
             { "server", server ? server->record.name.value : "" }, { "failure", Net::toString(failure) },
             { "afterMs", Core::toMilliseconds(now - sentAt_) } });
-    if (failure == Net::ExchangeFailure::NotConnected) {
+    if (failure == Net::ExchangeFailure::NotConnected || failure == Net::ExchangeFailure::Refused) {
         // Nothing was sent.
+        if (failure == Net::ExchangeFailure::Refused)
+            gateway_.countRefusal(server_);
         --sends_;
         if (server)
             gateway_.loadOf(server->record).onUnreachable(now);
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -29,6 +29,7 @@
     void placeByKey(Fleet::PoolItem const&);
     void placeAnywhere(Fleet::PoolItem const&);
     bool trySend(Fleet::ViewServer const&, Fleet::PoolItem const&);
+    AdmissionQuery admissionQuery();
     void waitForOwner(Core::TimePoint expectedAt);
     void onNotRun(bool isMisdirected);
     /// Whether another send is allowed after one that ended without a usable answer.
@@ -56,6 +57,8 @@
     std::uint32_t maxAttempts_ { 1 };
     std::uint32_t sends_ { 0 };
     Core::TimePoint deadline_;
+    /// Until then the answer is worth most.
+    Core::TimePoint target_;
     /// Set while a request is at a server.
     ServerLink* link_ { nullptr };
     Fleet::ServerNumber server_ { 0 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -161,6 +161,8 @@
             report.arrivals.push_back({ where.first, {} });
         report.arrivals.back().keys.emplace_back(where.second, count);
     }
+    for (auto const& [number, contact] : contacts_)
+        report.contacts.push_back({ number, contact.answers, contact.refusals });
     for (auto const& [number, sum] : latencies_)
         report.latencies.push_back(sum);
     if (suspicions_.size() > maxSuspicions)
@@ -168,6 +170,7 @@
     report.suspicions = std::exchange(suspicions_, {});
     arrivals_.clear();
     latencies_.clear();
+    contacts_.clear();
     return report;
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -66,6 +66,8 @@
     std::size_t connectionShare(Fleet::PoolItem const&) const;
     void countArrival(Core::PoolName const&, std::uint32_t key);
     void countLatency(Fleet::ServerNumber, Core::Duration);
+    void countAnswer(Fleet::ServerNumber server) { ++contacts_[server].answers; }
+    void countRefusal(Fleet::ServerNumber server) { ++contacts_[server].refusals; }
 
     Net::EventLoop& loop_;
     Telemetry::EventLog& events_;
@@ -79,6 +81,7 @@
     std::map<Core::RouteName, PoolSplit> splits_;
     std::map<std::pair<Core::PoolName, std::uint32_t>, std::uint32_t> arrivals_;
     std::map<Fleet::ServerNumber, Fleet::LoadReport::Latency> latencies_;
+    std::map<Fleet::ServerNumber, Fleet::LoadReport::Contact> contacts_;
     std::vector<Fleet::LoadReport::Suspicion> suspicions_;
     GatewayCounters counters_;
     bool isTaking_ { true };
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -12,7 +12,7 @@
     constexpr double serviceTimeSmoothing = 0.2;
     /// Requests at a server for each of its slots. A server refuses, or never answers, what its own queue cannot take,
     /// and all entry hosts fill that queue without seeing each other.
-    constexpr double maxOccupancyPerSlot = 3.0;
+    constexpr double maxOccupancyPerSlot = 4.0;
     constexpr Core::Duration firstAvoidance = std::chrono::milliseconds(200);
     constexpr std::uint32_t maxDoublings = 3;
     /// One or two come from a key that moves just then.
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -31,6 +31,8 @@
     switch (failure) {
     case ExchangeFailure::NotConnected:
         return "not-connected";
+    case ExchangeFailure::Refused:
+        return "refused";
     case ExchangeFailure::NoAnswer:
         return "no-answer";
     case ExchangeFailure::Truncated:
@@ -163,8 +165,8 @@
         handler_.onIdleEnd(*this);
         return;
     }
-    if (reason == StreamEnd::NotConnected) {
-        fail(ExchangeFailure::NotConnected);
+    if (reason == StreamEnd::NotConnected || reason == StreamEnd::Refused) {
+        fail(reason == StreamEnd::Refused ? ExchangeFailure::Refused : ExchangeFailure::NotConnected);
         return;
     }
     if (!hasHead_) {
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -9,6 +9,8 @@
 enum class ExchangeFailure : std::uint8_t {
     /// No connection came about, so nothing was sent.
     NotConnected,
+    /// Nothing listens at the address.
+    Refused,
     /// The connection ended before any byte of an answer.
     NoAnswer,
     /// The answer ended before it was complete.
--- a/Libraries/LibNet/Stream.cpp
+++ b/Libraries/LibNet/Stream.cpp
@@ -121,7 +121,7 @@
     int error = 0;
     socklen_t length = sizeof error;
     if (::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0) {
-        end(StreamEnd::NotConnected);
+        end(error == ECONNREFUSED ? StreamEnd::Refused : StreamEnd::NotConnected);
         return;
     }
     loop_.cancel(connectTimer_);
--- a/Libraries/LibNet/Stream.h
+++ b/Libraries/LibNet/Stream.h
@@ -18,6 +18,8 @@
     Broken,
     /// The connection was never established.
     NotConnected,
+    /// Nothing listens at the address.
+    Refused,
 };
 
 class Stream;
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -267,7 +267,8 @@
     Command evacuation;
     evacuation.domain = DomainChange { { "odd" }, true };
     leader.commit(evacuation);
-    run(leader, { &odd, &even }, 3);
+    // Two seconds until a move has waited long enough, then a heartbeat of each server.
+    run(leader, { &odd, &even }, 4);
     BOOST_TEST(odd.holds.empty());
     BOOST_TEST(heldKeyCount(even) == keyCount);
     evacuation.domain->isEvacuated = false;
@@ -296,6 +297,75 @@
     BOOST_TEST(heldKeyCount(b) == keyCount);
 }
 
+BOOST_AUTO_TEST_CASE(KeysOfAServerWhoseAddressRefusesConnectionsMoveBeforeItsHoldRunsOut)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    auto const lost = a.holds.front().first;
+    auto const number = leader.state().findServer(a.record.name)->number;
+    LoadReport report;
+    report.contacts.push_back({ number, 0, 2 });
+    leader.coordinator().onReport(leader.now(), report);
+    leader.advance(500ms);
+    leader.coordinator().onReport(leader.now(), report);
+    leader.advance(600ms);
+    beat(leader, b);
+    BOOST_TEST(std::ranges::count(b.holds, lost, &HeldKeys::first) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatStillAnswersAnybodyKeepsItsKeys)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    auto const lost = a.holds.front().first;
+    auto const number = leader.state().findServer(a.record.name)->number;
+    for (int i = 0; i < 4; ++i) {
+        LoadReport refused;
+        refused.contacts.push_back({ number, 0, 5 });
+        LoadReport answered;
+        answered.contacts.push_back({ number, 1, 0 });
+        leader.coordinator().onReport(leader.now(), refused);
+        leader.advance(500ms);
+        leader.coordinator().onReport(leader.now(), answered);
+    }
+    beat(leader, b);
+    BOOST_TEST(std::ranges::count(b.holds, lost, &HeldKeys::first) == 0);
+}
+
+// Load pattern: 60 adjacent keys get most of the traffic, all of them on one or two ranges.
+BOOST_AUTO_TEST_CASE(AHotRangeIsSplitAndSpread)
+{
+    Leader leader;
+    std::vector<Server> servers;
+    for (int i = 1; i <= 10; ++i)
+        servers.emplace_back(makeServer(i));
+    std::vector<Server*> all;
+    for (auto& server : servers)
+        all.push_back(&server);
+    run(leader, all, 4);
+    for (int round = 0; round < 8; ++round) {
+        LoadReport report;
+        report.arrivals.push_back({ lettersPool, {} });
+        for (std::uint32_t key = 30000; key < 30060; ++key)
+            report.arrivals.back().keys.emplace_back(key, 1);
+        leader.coordinator().onReport(leader.now(), report);
+        leader.advance(500ms);
+        for (auto* const server : all)
+            beat(leader, *server);
+    }
+    run(leader, all, 4);
+    std::map<ServerNumber, int> hotKeys;
+    for (std::uint32_t key = 30000; key < 30060; ++key)
+        ++hotKeys[publishedOwner(leader.coordinator(), key)];
+    auto const most = std::ranges::max_element(hotKeys, {}, [](auto const& entry) { return entry.second; })->second;
+    BOOST_TEST(hotKeys.size() >= 5);
+    BOOST_TEST(most <= 20);
+}
+
 BOOST_AUTO_TEST_CASE(ARequestIsQuarantinedOnceItCrashedThreeServers)
 {
     Leader leader;
--- a/Tests/LibFleet/TestRangePlacement.cpp
+++ b/Tests/LibFleet/TestRangePlacement.cpp
@@ -71,7 +71,7 @@
         server.load += 2;
         ++server.ranges;
     }
-    BOOST_TEST(RangePlacement::balance(servers, ranges).empty());
+    BOOST_TEST(RangePlacement::balance(servers, ranges, 0.1).empty());
 }
 
 BOOST_AUTO_TEST_CASE(AServerThatJoinedGetsItsShareInAFewRounds)
@@ -85,7 +85,7 @@
         ++server.ranges;
     }
     for (int round = 0; round < 3; ++round) {
-        for (auto const& move : RangePlacement::balance(servers, ranges))
+        for (auto const& move : RangePlacement::balance(servers, ranges, 0.1))
             ranges[move.index].owner = move.to;
     }
     BOOST_TEST(servers[4].load >= 12);
@@ -99,7 +99,7 @@
     servers[0].ranges = 1;
     servers[1].load = 1;
     servers[1].ranges = 1;
-    BOOST_TEST(RangePlacement::balance(servers, { { 0, 1, 100 }, { 1, 2, 1 } }).empty());
+    BOOST_TEST(RangePlacement::balance(servers, { { 0, 1, 100 }, { 1, 2, 1 } }, 0.1).empty());
 }
 
 BOOST_AUTO_TEST_CASE(ASlowServerGetsLess)
--- a/Tests/LibFleet/TestView.cpp
+++ b/Tests/LibFleet/TestView.cpp
@@ -71,6 +71,29 @@
     BOOST_TEST(view.mayServe(makeServer(2)));
 }
 
+BOOST_AUTO_TEST_CASE(AnOwnerThatLeavesServesItsKeysUntilTheyHaveMovedButNotForLong)
+{
+    View view;
+    ViewUpdate update;
+    auto server = makeServer(1);
+    server.number = 1;
+    update.servers.push_back({ server, 0 });
+    view.apply(update, start);
+    server.isDraining = true;
+    update.servers = { { server, 0 } };
+    view.apply(update, start + 1s);
+    BOOST_TEST(!view.mayServe(view.findServer(1)->record));
+    BOOST_TEST(view.mayServeKeys(*view.findServer(1), start + 1s));
+    BOOST_TEST(!view.mayServeKeys(*view.findServer(1), start + 1s + View::drainGrace));
+    // Hearing of it again, with everything else, does not begin the time anew.
+    update.isWhole = true;
+    view.apply(update, start + 10s);
+    BOOST_TEST(!view.mayServeKeys(*view.findServer(1), start + 10s));
+    View other;
+    other.apply(update, start);
+    BOOST_TEST(!other.mayServeKeys(*other.findServer(1), start));
+}
+
 BOOST_AUTO_TEST_CASE(AnUpdateSurvivesItsEncoding)
 {
     ViewUpdate update = routeUpdate(makeRoute("route", 3));
--- a/Tests/LibGateway/TestPolicies.cpp
+++ b/Tests/LibGateway/TestPolicies.cpp
@@ -22,7 +22,7 @@
 BOOST_AUTO_TEST_CASE(AnIdleServerGetsARequestThatCanStillBeAnswered)
 {
     ServerLoad const server(4);
-    BOOST_TEST(!Admission::check({ 500ms, 2, 0.5 }, server, start).has_value());
+    BOOST_TEST(!Admission::check({ 500ms, 500ms, 2, 0.5 }, server, start).has_value());
 }
 
 // Load pattern: a burst for one owner. What waits is bounded, and what cannot be answered in time is refused at once.
@@ -32,31 +32,61 @@
     for (int i = 0; i < 6; ++i)
         server.onSent();
     // Five requests before it in two slots of 100 ms each.
-    BOOST_TEST(Admission::check({ 200ms, 0, 0.5 }, server, start).has_value());
+    BOOST_TEST(Admission::check({ 200ms, 200ms, 0, 0.5 }, server, start).has_value());
+}
+
+// Load pattern: half as many requests again as one owner can run, for as long as it takes. With a queue up to the
+// deadline every answer would come after its target.
+BOOST_AUTO_TEST_CASE(UnderLastingOverloadAnswersStayWithinTheirTarget)
+{
+    constexpr auto service = 100ms;
+    constexpr auto target = 300ms;
+    ServerLoad server(2);
+    std::vector<Core::TimePoint> slots(2, start);
+    std::vector<Core::TimePoint> ends;
+    int inTarget = 0;
+    int late = 0;
+    for (auto now = start; now < start + 20s; now += service / 3) {
+        std::erase_if(ends, [&](auto end) {
+            if (end <= now)
+                server.onDone();
+            return end <= now;
+        });
+        if (Admission::check({ 800ms, target, 0, 0.5 }, server, now))
+            continue;
+        server.onSent();
+        auto& slot = *std::ranges::min_element(slots);
+        slot = std::max(slot, now) + service;
+        ends.push_back(slot);
+        ++(slot - now <= target ? inTarget : late);
+    }
+    // Two slots of ten requests a second, for twenty seconds.
+    BOOST_TEST(inTarget >= 380);
+    BOOST_TEST(late <= inTarget / 20);
 }
 
 BOOST_AUTO_TEST_CASE(PlacesAreBoundedHoweverLongTheCallerWaits)
 {
     ServerLoad server(2);
     int sent = 0;
-    while (!Admission::check({ 60s, 0, 0.5 }, server, start) && sent < 100) {
+    while (!Admission::check({ 60s, 60s, 0, 0.5 }, server, start) && sent < 100) {
         server.onSent();
         ++sent;
     }
-    BOOST_TEST(sent == 6);
+    BOOST_TEST(sent == 8);
 }
 
 BOOST_AUTO_TEST_CASE(LessUrgentRequestsFindFewerPlacesButSome)
 {
     ServerLoad server(4);
     int urgent = 0;
-    while (!Admission::check({ 60s, 0, 0.5 }, server, start)) {
+    while (!Admission::check({ 60s, 60s, 0, 0.5 }, server, start)) {
         server.onSent();
         ++urgent;
     }
     ServerLoad other(4);
     int patient = 0;
-    while (!Admission::check({ 60s, 2, 0.5 }, other, start)) {
+    while (!Admission::check({ 60s, 60s, 2, 0.5 }, other, start)) {
         other.onSent();
         ++patient;
     }
