--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -12,6 +12,7 @@
     constexpr Core::Duration tickInterval = std::chrono::milliseconds(50);
     /// Changes of the view within this time are sent together.
     constexpr Core::Duration publishDelay = std::chrono::milliseconds(5);
+    constexpr Core::Duration metricsInterval = std::chrono::seconds(1);
     constexpr Core::Duration joinInterval = std::chrono::milliseconds(250);
     /// A host that hears of no leader for this long asks whether it is still a member. Two election timeouts.
     constexpr Core::Duration leaderSilence = std::chrono::milliseconds(1600);
@@ -36,10 +37,11 @@
 
 } // namespace
 
-ControlHost::ControlHost(
-    Net::EventLoop& loop, Telemetry::EventLog& events, ControlHostSettings settings, OpenedStore store)
+ControlHost::ControlHost(Net::EventLoop& loop, Telemetry::EventLog& events, Telemetry::Metrics& metrics,
+    ControlHostSettings settings, OpenedStore store)
     : loop_(loop)
     , events_(events)
+    , metrics_(metrics)
     , settings_(std::move(settings))
     , identity_(store.identity)
     , replica_(loop, events, *this, consensusSettings(store.identity), std::move(store.opened))
@@ -400,6 +402,7 @@
     if (replica_.status().leader)
         lastLeader_ = now;
     askToJoin();
+    publishMetrics();
     if (!coordinator_)
         return;
     coordinator_->tick(now);
@@ -409,6 +412,22 @@
     superviseMembers();
 }
 
+void ControlHost::publishMetrics()
+{
+    if (loop_.now() - lastMetrics_ < metricsInterval)
+        return;
+    lastMetrics_ = loop_.now();
+    events_.reportSuppressed();
+    auto const status = replica_.status();
+    auto const isLeader = status.role == Consensus::Role::Leader;
+    metrics_.setRaft(status.term.value, status.commitIndex.value, isLeader, status.leader.has_value());
+    std::map<std::pair<Core::PoolName, Core::FailureDomain>, std::uint64_t> servers;
+    for (auto const& [number, server] : replica_.state().servers())
+        ++servers[{ server.pool, server.domain }];
+    for (auto const& [where, count] : servers)
+        metrics_.setBackendServers(where.first, where.second, "registered", count);
+}
+
 void ControlHost::askToJoin()
 {
     auto const now = loop_.now();
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -6,6 +6,7 @@
 #include <LibControlHost/Replica.h>
 #include <LibFleet/View.h>
 #include <LibNet/FrameChannel.h>
+#include <LibTelemetry/Metrics.h>
 
 namespace ControlHost {
 
@@ -23,7 +24,7 @@
 /// The control role of one process. Used on the loop's thread.
 class ControlHost final : private ReplicaObserver, private Net::FrameHandler {
 public:
-    ControlHost(Net::EventLoop&, Telemetry::EventLog&, ControlHostSettings, OpenedStore);
+    ControlHost(Net::EventLoop&, Telemetry::EventLog&, Telemetry::Metrics&, ControlHostSettings, OpenedStore);
     ~ControlHost() override;
 
     /// False when the address cannot be used; `errno` says why.
@@ -77,10 +78,12 @@
     void tick();
     void askToJoin();
     void superviseMembers();
+    void publishMetrics();
     void countEntryHosts();
 
     Net::EventLoop& loop_;
     Telemetry::EventLog& events_;
+    Telemetry::Metrics& metrics_;
     ControlHostSettings settings_;
     Core::HostName identity_;
     Replica replica_;
@@ -103,6 +106,7 @@
     Core::TimePoint lastMemberChange_;
     Core::TimePoint lastLeader_;
     Core::TimePoint lastJoin_;
+    Core::TimePoint lastMetrics_;
     std::size_t nextSeed_ { 0 };
     std::optional<Core::Endpoint> hintedLeader_;
     Net::EventLoop::TimerId timer_;
--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -19,12 +19,12 @@
 
 } // namespace
 
-EntryHost::EntryHost(
-    Net::EventLoop& loop, Telemetry::EventLog& events, RequestCodec const& codec, EntryHostSettings settings)
+EntryHost::EntryHost(Net::EventLoop& loop, Telemetry::EventLog& events, Telemetry::Metrics& metrics,
+    RequestCodec const& codec, EntryHostSettings settings)
     : loop_(loop)
     , events_(events)
     , settings_(std::move(settings))
-    , gateway_(loop, events, codec, settings_.gateway)
+    , gateway_(loop, events, metrics, codec, settings_.gateway)
     , link_(loop, events, *this, settings_.name, settings_.controlHosts)
 {
     sendReport();
--- a/Libraries/LibGateway/EntryHost.h
+++ b/Libraries/LibGateway/EntryHost.h
@@ -17,7 +17,7 @@
 /// The entry role of one process: serves callers by the view that the control leader keeps up to date.
 class EntryHost final : private EntryLinkHandler {
 public:
-    EntryHost(Net::EventLoop&, Telemetry::EventLog&, RequestCodec const&, EntryHostSettings);
+    EntryHost(Net::EventLoop&, Telemetry::EventLog&, Telemetry::Metrics&, RequestCodec const&, EntryHostSettings);
     ~EntryHost() override;
 
     /// False when the address cannot be used; `errno` says why.
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -375,8 +375,7 @@
             response.fields.push_back(std::move(field));
     }
     response.body = std::move(answer.body);
-    ++gateway_.counters_.answered;
-    respond(response);
+    respond(response, "answered", {});
 }
 
 void Exchange::refuse(std::string_view reason, Core::Duration retryAfter)
@@ -389,21 +388,19 @@
         { { "request", terms_.attemptId }, { "route", route_.value }, { "reason", reason },
             { "key", terms_.key.value_or(0) }, { "leftMs", Core::toMilliseconds(left()) },
             { "retryAfterMs", Core::toMilliseconds(retryAfter) } });
-    ++gateway_.counters_.refused;
     Net::HttpResponse response;
     response.status = statusUnavailable;
     response.fields.push_back({ "Retry-After", formatSeconds(std::max(retryAfter, Core::Duration::zero())) });
-    respond(response);
+    respond(response, "not-run", reason);
 }
 
 void Exchange::fail(std::uint16_t status, std::string_view reason)
 {
     gateway_.events_.write(EventId::RequestRejected,
         { { "request", terms_.attemptId }, { "route", route_.value }, { "reason", reason }, { "status", status } });
-    ++gateway_.counters_.failed;
     Net::HttpResponse response;
     response.status = status;
-    respond(response);
+    respond(response, "unknown", reason);
 }
 
 void Exchange::onDeadline()
@@ -421,7 +418,6 @@
 void Exchange::abandon()
 {
     cancelTimers();
-    ++gateway_.counters_.abandoned;
     if (!link_)
         return;
     if (auto const* const server = gateway_.view_.findServer(server_))
@@ -429,8 +425,9 @@
     gateway_.links_.abandon(std::exchange(link_, nullptr));
 }
 
-void Exchange::respond(Net::HttpResponse const& response)
+void Exchange::respond(Net::HttpResponse const& response, std::string_view outcome, std::string_view reason)
 {
+    gateway_.metrics_.countRequest(pool_, route_, outcome, reason, gateway_.loop_.now() - request_.startedAt);
     cancelTimers();
     gateway_.finish(id_, response);
 }
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -40,7 +40,8 @@
     void relay(Net::HttpAnswer);
     void refuse(std::string_view reason, Core::Duration retryAfter);
     void fail(std::uint16_t status, std::string_view reason);
-    void respond(Net::HttpResponse const&);
+    /// `outcome` and `reason` are for the metrics.
+    void respond(Net::HttpResponse const&, std::string_view outcome, std::string_view reason);
     void cancelTimers();
     Core::Duration left() const { return deadline_ - gateway_.loop_.now(); }
     bool isSafe() const { return kind_ == Fleet::RequestKind::Safe; }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -16,9 +16,11 @@
 } // namespace
 
 Gateway::Gateway(
-    Net::EventLoop& loop, Telemetry::EventLog& events, RequestCodec const& codec, GatewaySettings const& settings)
+    Net::EventLoop& loop, Telemetry::EventLog& events, Telemetry::Metrics& metrics, RequestCodec const& codec,
+    GatewaySettings const& settings)
     : loop_(loop)
     , events_(events)
+    , metrics_(metrics)
     , codec_(codec)
     , settings_(settings)
     , random_(Core::Random::fromSystemEntropy())
@@ -117,7 +119,7 @@
         events_.write(Telemetry::EventId::RetryBudgetExhausted, { { "pool", pool.value } });
         return false;
     }
-    ++counters_.repeats;
+    metrics_.countRetry(pool);
     return true;
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -8,6 +8,7 @@
 #include <LibGateway/ServerLoad.h>
 #include <LibNet/HttpServer.h>
 #include <LibTelemetry/EventLog.h>
+#include <LibTelemetry/Metrics.h>
 
 namespace Gateway {
 
@@ -23,19 +24,10 @@
     Core::FailureDomain failureDomain;
 };
 
-/// What became of the requests since the start, for the metrics.
-struct GatewayCounters {
-    std::uint64_t answered { 0 };
-    std::uint64_t refused { 0 };
-    std::uint64_t failed { 0 };
-    std::uint64_t abandoned { 0 };
-    std::uint64_t repeats { 0 };
-};
-
 /// The request path of one entry host. Used on the loop's thread.
 class Gateway final : public Net::HttpHandler {
 public:
-    Gateway(Net::EventLoop&, Telemetry::EventLog&, RequestCodec const&, GatewaySettings const&);
+    Gateway(Net::EventLoop&, Telemetry::EventLog&, Telemetry::Metrics&, RequestCodec const&, GatewaySettings const&);
     ~Gateway() override;
 
     /// False when the address cannot be used; `errno` says why.
@@ -51,7 +43,6 @@
     std::size_t requestCount() const { return exchanges_.size(); }
     /// Arrivals, latencies and suspicions since the last report.
     Fleet::LoadReport takeReport();
-    GatewayCounters const& counters() const { return counters_; }
 
 private:
     friend class Exchange;
@@ -71,6 +62,7 @@
 
     Net::EventLoop& loop_;
     Telemetry::EventLog& events_;
+    Telemetry::Metrics& metrics_;
     RequestCodec const& codec_;
     GatewaySettings settings_;
     Core::Random random_;
@@ -83,7 +75,6 @@
     std::map<Fleet::ServerNumber, Fleet::LoadReport::Latency> latencies_;
     std::map<Fleet::ServerNumber, Fleet::LoadReport::Contact> contacts_;
     std::vector<Fleet::LoadReport::Suspicion> suspicions_;
-    GatewayCounters counters_;
     bool isTaking_ { true };
     ServerLinks links_;
     std::map<Net::ExchangeId, std::unique_ptr<Exchange>> exchanges_;
--- a/Tests/LibControlHost/TestControlHost.cpp
+++ b/Tests/LibControlHost/TestControlHost.cpp
@@ -59,7 +59,7 @@
         BOOST_REQUIRE(!store.isError());
         identities_.at(index) = store.value().identity;
         hosts_.at(index)
-            = std::make_unique<ControlHost::ControlHost>(loop_, *events_, settings, std::move(store).value());
+            = std::make_unique<ControlHost::ControlHost>(loop_, *events_, metrics_, settings, std::move(store).value());
         BOOST_REQUIRE(hosts_.at(index)->listen());
     }
 
@@ -159,6 +159,7 @@
     std::filesystem::path root_;
     Core::SystemClock clock_;
     std::unique_ptr<Telemetry::EventLog> events_;
+    Telemetry::Metrics metrics_;
     Net::EventLoop loop_;
     std::vector<Core::Endpoint> addresses_;
     std::array<std::unique_ptr<Storage::RealDisk>, size> disks_;
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -52,7 +52,7 @@
         : events(Telemetry::EventLog::open({ .file = "/dev/null" }, clock).value())
         , a(loop, [](auto const& request) { return FakeServer::Reaction { answerTo(request, "200 OK", "from-a") }; })
         , b(loop, [](auto const& request) { return FakeServer::Reaction { answerTo(request, "200 OK", "from-b") }; })
-        , gateway(loop, *events, codec, settings())
+        , gateway(loop, *events, metrics, codec, settings())
     {
         address = { "127.0.0.1", freePort() };
         BOOST_REQUIRE(gateway.listen(address));
@@ -148,6 +148,7 @@
     Net::EventLoop loop;
     Core::SystemClock clock;
     std::unique_ptr<Telemetry::EventLog> events;
+    Telemetry::Metrics metrics;
     TestCodec codec;
     FakeServer a;
     FakeServer b;
