--- a/Tests/LibControlHost/TestControlHost.cpp
+++ b/Tests/LibControlHost/TestControlHost.cpp
@@ -110,39 +110,46 @@
     /// Sends a change until it is acknowledged.
     bool acknowledge(std::uint64_t version)
     {
-        bool isAcknowledged = false;
-        bool isWaiting = false;
+        // Shared with a callback that may come after this call has given up.
+        struct Attempt {
+            bool isAcknowledged { false };
+            bool isWaiting { false };
+        };
+        auto const attempt = std::make_shared<Attempt>();
         return runUntil([&] {
             auto* const host = leader();
-            if (host && !isWaiting) {
-                isWaiting = true;
-                host->change(changeOf(version), [&](auto const& result) {
-                    isWaiting = false;
-                    isAcknowledged = !result.isError();
+            if (host && !attempt->isWaiting && !attempt->isAcknowledged) {
+                attempt->isWaiting = true;
+                host->change(changeOf(version), [attempt](auto const& result) {
+                    attempt->isWaiting = false;
+                    attempt->isAcknowledged = !result.isError();
                 });
             }
-            return isAcknowledged;
+            return attempt->isAcknowledged;
         });
     }
 
     /// The version that is read back from the leader.
     std::uint64_t readBack()
     {
-        std::uint64_t version = 0;
-        bool isWaiting = false;
+        struct Attempt {
+            std::uint64_t version { 0 };
+            bool isWaiting { false };
+        };
+        auto const attempt = std::make_shared<Attempt>();
         runUntil([&] {
             auto* const host = leader();
-            if (host && !isWaiting && version == 0) {
-                isWaiting = true;
-                host->read([&](auto const& state) {
-                    isWaiting = false;
+            if (host && !attempt->isWaiting && attempt->version == 0) {
+                attempt->isWaiting = true;
+                host->read([attempt](auto const& state) {
+                    attempt->isWaiting = false;
                     if (!state.isError() && state.value()->pools().contains("pool"))
-                        version = state.value()->pools().at("pool").version;
+                        attempt->version = state.value()->pools().at("pool").version;
                 });
             }
-            return version != 0;
+            return attempt->version != 0;
         });
-        return version;
+        return attempt->version;
     }
 
 private:
