--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -147,8 +147,11 @@
     if (update.evacuated)
         applyEvacuations(*update.evacuated, now);
     if (update.isWhole) {
+        std::set<ServerNumber> present;
+        for (auto const& row : update.servers)
+            present.insert(row.server.number);
         for (auto const& [number, server] : servers_) {
-            if (std::ranges::none_of(update.servers, [&](auto const& row) { return row.server.number == number; }))
+            if (!present.contains(number))
                 gone.push_back(number);
         }
         ranges_.clear();
--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -21,7 +21,7 @@
     Core::Duration waitLimit(AdmissionQuery const& query)
     {
         // A request that has missed its target waits for half as long as it still may.
-        return std::max(query.leftToTarget * 3 / 2, query.left / 2);
+        return query.leftToTarget > Core::Duration::zero() ? query.leftToTarget : query.left / 2;
     }
 
 } // namespace
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -15,9 +15,8 @@
 
 } // namespace
 
-Gateway::Gateway(
-    Net::EventLoop& loop, Telemetry::EventLog& events, Telemetry::Metrics& metrics, RequestCodec const& codec,
-    GatewaySettings const& settings)
+Gateway::Gateway(Net::EventLoop& loop, Telemetry::EventLog& events, Telemetry::Metrics& metrics,
+    RequestCodec const& codec, GatewaySettings const& settings)
     : loop_(loop)
     , events_(events)
     , metrics_(metrics)
--- a/Libraries/LibGateway/RetryShare.cpp
+++ b/Libraries/LibGateway/RetryShare.cpp
@@ -15,7 +15,7 @@
 void RetryShare::advance(Core::TimePoint now)
 {
     auto const step = now.time_since_epoch() / (bound_.window / static_cast<std::int64_t>(steps));
-    auto const passed = std::min<std::int64_t>(step - currentStep_, requests_.size());
+    auto const passed = std::min(step - currentStep_, static_cast<std::int64_t>(requests_.size()));
     for (std::int64_t i = 1; i <= passed; ++i) {
         auto const slot = static_cast<std::size_t>((step - passed + i) % static_cast<std::int64_t>(requests_.size()));
         requests_.at(slot) = 0;
--- a/Tests/LibControlHost/TestControlHost.cpp
+++ b/Tests/LibControlHost/TestControlHost.cpp
@@ -20,7 +20,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof address;
-    ::bind(fd, reinterpret_cast<sockaddr*>(&address), length);
+    BOOST_REQUIRE_EQUAL(::bind(fd, reinterpret_cast<sockaddr*>(&address), length), 0);
     ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
     ::close(fd);
     return ntohs(address.sin_port);
@@ -85,7 +85,7 @@
             std::ranges::find_if(hosts_, [](auto const& host) { return host && host->isLeading(); }) - hosts_.begin());
     }
 
-    bool runUntil(std::function<bool()> condition, Core::Duration limit = 10s)
+    bool runUntil(std::function<bool()> const& condition, Core::Duration limit = 10s)
     {
         auto const deadline = Core::BootClock::now() + limit;
         while (!condition() && Core::BootClock::now() < deadline) {
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -28,7 +28,7 @@
         }
     }
 
-    std::optional<Grant> beat(Heartbeat beat)
+    std::optional<Grant> beat(Heartbeat const& beat)
     {
         if (auto const command = coordinator_->admit(beat))
             commit(*command);
@@ -344,6 +344,7 @@
     for (int i = 1; i <= 10; ++i)
         servers.emplace_back(makeServer(i));
     std::vector<Server*> all;
+    all.reserve(servers.size());
     for (auto& server : servers)
         all.push_back(&server);
     run(leader, all, 4);
--- a/Tests/LibFleet/TestOwnershipSeeds.cpp
+++ b/Tests/LibFleet/TestOwnershipSeeds.cpp
@@ -148,9 +148,10 @@
 
     void deliverLate()
     {
-        auto const arrived = std::ranges::partition(late_, [&](auto const& answer) { return answer.arrivesAt > now_; });
-        std::vector<LateAnswer> const answers(arrived.begin(), arrived.end());
-        late_.erase(arrived.begin(), arrived.end());
+        auto const arrived
+            = std::partition(late_.begin(), late_.end(), [&](auto const& answer) { return answer.arrivesAt > now_; });
+        std::vector<LateAnswer> const answers(arrived, late_.end());
+        late_.erase(arrived, late_.end());
         for (auto const& answer : answers) {
             auto& server = servers_[answer.server];
             // An answer counts only for the newest heartbeat of the same life.
--- a/Tests/LibGateway/FakeServers.cpp
+++ b/Tests/LibGateway/FakeServers.cpp
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdlib>
+
 namespace TestGateway {
 
 Gateway::RequestTerms TestCodec::readRequest(Proxy::MessageHead const& head) const
@@ -101,13 +103,14 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof address;
-    ::bind(fd, reinterpret_cast<sockaddr*>(&address), length);
+    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), length) != 0)
+        std::abort();
     ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
     ::close(fd);
     return ntohs(address.sin_port);
 }
 
-bool runUntil(Net::EventLoop& loop, std::function<bool()> condition)
+bool runUntil(Net::EventLoop& loop, std::function<bool()> const& condition)
 {
     auto const deadline = Core::BootClock::now() + 5s;
     while (!condition() && Core::BootClock::now() < deadline)
--- a/Tests/LibGateway/FakeServers.h
+++ b/Tests/LibGateway/FakeServers.h
@@ -53,7 +53,7 @@
 /// A port of the loopback interface that nothing listens on.
 std::uint16_t freePort();
 /// Runs the loop until the condition holds. False after five seconds.
-bool runUntil(Net::EventLoop&, std::function<bool()> condition);
+bool runUntil(Net::EventLoop&, std::function<bool()> const& condition);
 /// Runs the loop for this long.
 void runFor(Net::EventLoop&, Core::Duration);
 
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -18,7 +18,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof address;
-    ::bind(fd, reinterpret_cast<sockaddr*>(&address), length);
+    BOOST_REQUIRE_EQUAL(::bind(fd, reinterpret_cast<sockaddr*>(&address), length), 0);
     ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
     ::close(fd);
     return ntohs(address.sin_port);
@@ -30,7 +30,7 @@
     loop.run();
 }
 
-bool runUntil(Net::EventLoop& loop, std::function<bool()> condition, Core::Duration limit = 5s)
+bool runUntil(Net::EventLoop& loop, std::function<bool()> const& condition, Core::Duration limit = 5s)
 {
     auto const deadline = Core::BootClock::now() + limit;
     while (!condition() && Core::BootClock::now() < deadline)
--- a/Tests/Platform/TestWire.cpp
+++ b/Tests/Platform/TestWire.cpp
@@ -53,7 +53,7 @@
         fields[name] = value;
     std::string body = R"({"Upsert":{"Routes":[{)";
     for (auto const& [key, field] : fields)
-        body += (body.back() == '{' ? "\"" : ",\"") + key + "\":" + field;
+        body.append(body.back() == '{' ? "\"" : ",\"").append(key).append("\":").append(field);
     return body + "}]}}";
 }
 
