--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -296,11 +296,37 @@
 {
     if (!coordinator_)
         return;
+    logChanges(command, applied);
     coordinator_->onApplied(loop_.now(), command, applied);
     Fleet::addChanges(update_, replica_.state(), *coordinator_, command, applied, loop_.now());
     publishSoon();
 }
 
+/// One line for each change that the leader made take effect; the log bounds their number.
+void ControlHost::logChanges(Fleet::Command const& command, Fleet::Applied const& applied)
+{
+    if (applied.hasChangedItems)
+        events_.write(
+            EventId::EditAccepted, { { "routes", applied.routes.size() }, { "pools", applied.pools.size() } });
+    if (command.domain)
+        events_.write(command.domain->isEvacuated ? EventId::DrainStarted : EventId::ReturnStarted,
+            { { "domain", command.domain->domain.value } });
+    for (auto const number : applied.joined) {
+        if (auto const* const server = replica_.state().findServer(number))
+            events_.write(EventId::BackendJoined,
+                { { "server", server->name.value }, { "pool", server->pool.value },
+                    { "address", server->address.toString() }, { "domain", server->domain.value } });
+    }
+    for (auto const& name : applied.removedNames)
+        events_.write(EventId::BackendLeft, { { "server", name.value } });
+    for (auto const& assignment : applied.assignments) {
+        auto const* const owner = replica_.state().findServer(assignment.owner);
+        events_.write(EventId::SlotOwnerChanged,
+            { { "pool", assignment.pool.value }, { "first", assignment.first }, { "last", assignment.last },
+                { "owner", owner ? owner->name.value : "" }, { "handover", !assignment.handover.empty() } });
+    }
+}
+
 void ControlHost::onLeading(bool isLeading)
 {
     update_ = {};
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -64,6 +64,7 @@
     void onHello(Net::FrameChannel&, Hello const&);
     void onJoin(Net::FrameChannel&, JoinRequest const&);
     void onReport(Fleet::LoadReport const&);
+    void logChanges(Fleet::Command const&, Fleet::Applied const&);
     void onHint(LeaderHint const&);
     LeaderHint hint() const;
     Net::FrameChannel& channelTo(Core::Endpoint const&);
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -157,6 +157,7 @@
     departed_.push_back({ found->second.name, found->second.bornMs });
     if (departed_.size() > maxDeparted)
         departed_.erase(departed_.begin());
+    applied.removedNames.push_back(found->second.name);
     numbers_.erase(found->second.name);
     servers_.erase(found);
     applied.removedServers.push_back(number);
--- a/Libraries/LibFleet/State.h
+++ b/Libraries/LibFleet/State.h
@@ -22,6 +22,8 @@
     std::vector<ServerNumber> joined;
     std::vector<ServerNumber> changedServers;
     std::vector<ServerNumber> removedServers;
+    /// Of the removed servers, in the same order.
+    std::vector<Core::ServerName> removedNames;
     std::vector<Assignment> assignments;
     /// Set when the command was refused as a whole.
     std::optional<ChangeError> error;
