--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -9,27 +9,9 @@
 
     /// How long heartbeats may be late in addition to the hold and the drift, for the time until they are handled.
     constexpr Core::Duration leaseMargin = std::chrono::milliseconds(150);
-    /// No server of a pool has joined for this long: the first assignment can be made.
-    constexpr Core::Duration settleTime = std::chrono::milliseconds(1200);
-    /// A server without a heartbeat for this many intervals gets no further ranges.
-    constexpr int maxMissedBeats = 3;
     /// A server without any heartbeat for this long is forgotten.
     constexpr Core::Duration forgetAfter = std::chrono::seconds(25);
-    constexpr Core::Duration balanceInterval = std::chrono::milliseconds(500);
-    /// A range stays this long where it was moved to.
-    constexpr Core::Duration moveCooldown = std::chrono::seconds(4);
-    /// Weight of the newest interval in the load of a key. Two thirds of a change show after one second.
-    constexpr double loadSmoothing = 0.4;
-    /// Requests a second that a range counts for beside those measured, so that servers that joined get ranges.
-    constexpr double baseLoad = 0.02;
-    /// A key whose load has fallen below this is forgotten.
-    constexpr double negligibleLoad = 0.02;
     constexpr double latencySmoothing = 0.3;
-    /// Of a request, until any was measured.
-    constexpr double assumedServiceSeconds = 0.1;
-    /// From the answer that takes a range away until its release is committed: the work that is under way, the next
-    /// heartbeat within 100 ms, and a write to the disks.
-    constexpr Core::Duration releaseTime = std::chrono::milliseconds(200);
     /// A new owner is worth waiting a heartbeat for if it is told within this time after the old one.
     constexpr Core::Duration goodHandover = std::chrono::milliseconds(500);
     /// Entry hosts stop sending to a draining owner after this time.
@@ -40,13 +22,6 @@
     /// Refused connections that prove a process to have ended, if nothing was heard of it for this long.
     constexpr std::uint32_t refusalsOfEnded = 3;
     constexpr Core::Duration refusalTime = std::chrono::milliseconds(900);
-    /// Parts that a hot range is cut into at once.
-    constexpr std::size_t splitParts = 8;
-    /// A range is hot if it alone takes this part of what its owner bears.
-    constexpr double hotPart = 0.3;
-    /// Bounds of the measured speed of a server relative to its pool.
-    constexpr double minSpeed = 0.4;
-    constexpr double maxSpeed = 2.0;
     /// The answer to a heartbeat has at most 4 KiB; its frame needs a little.
     constexpr std::size_t maxGrantBytes = 3900;
     /// Length of a range in that answer without its handover text.
@@ -397,73 +372,6 @@
     return found->second.coldUntil - now;
 }
 
-bool Coordinator::mayOwn(ServerRecord const& server, Core::TimePoint now) const
-{
-    if (server.isDraining || state_.evacuated().contains(server.domain.value) || hasEnded(server.number, now))
-        return false;
-    auto const found = servers_.find(server.number);
-    // A new leader counts servers in until they had time for a heartbeat.
-    auto const lastBeat = found != servers_.end() && found->second.hasBeat ? found->second.lastBeat : startedAt_;
-    return now - lastBeat <= settings_.beatInterval * maxMissedBeats;
-}
-
-double Coordinator::meanServiceSeconds(Core::PoolName const& pool) const
-{
-    constexpr double millisecondsPerSecond = 1000;
-    double sum = 0;
-    std::size_t count = 0;
-    for (auto const& [number, server] : state_.servers()) {
-        auto const found = servers_.find(number);
-        if (server.pool != pool || found == servers_.end() || found->second.meanMs == 0)
-            continue;
-        sum += found->second.meanMs;
-        ++count;
-    }
-    return count == 0 ? assumedServiceSeconds : sum / static_cast<double>(count) / millisecondsPerSecond;
-}
-
-std::vector<PlacementServer> Coordinator::placementServers(
-    Core::PoolName const& pool, Core::TimePoint now, Core::TimePoint from) const
-{
-    std::vector<PlacementServer> warm;
-    std::vector<PlacementServer> cold;
-    double sumMs = 0;
-    std::size_t measured = 0;
-    for (auto const& [number, server] : state_.servers()) {
-        if (server.pool != pool || !mayOwn(server, now))
-            continue;
-        auto& list = isCold(number, now) ? cold : warm;
-        list.push_back({ number, static_cast<double>(server.slots) });
-        list.back().delay = std::chrono::duration<double>(nextBeat(number, from) - now) / settings_.beatInterval;
-        auto const found = servers_.find(number);
-        if (found != servers_.end() && found->second.meanMs > 0) {
-            sumMs += found->second.meanMs;
-            ++measured;
-        }
-    }
-    auto& servers = warm.empty() ? cold : warm;
-    for (auto& server : servers) {
-        auto const found = servers_.find(server.number);
-        if (measured > 0 && found != servers_.end() && found->second.meanMs > 0)
-            server.capacity
-                *= std::clamp(sumMs / static_cast<double>(measured) / found->second.meanMs, minSpeed, maxSpeed);
-    }
-    auto const soft = ranges_.find(pool);
-    if (soft == ranges_.end())
-        return std::move(servers);
-    for (auto const& range : state_.keys(pool)) {
-        auto const state = soft->second.find(range.first);
-        auto const hasState = state != soft->second.end();
-        auto const holder = hasState && state->second.target != 0 ? state->second.target : range.owner;
-        auto const server = std::ranges::lower_bound(servers, holder, {}, &PlacementServer::number);
-        if (server == servers.end() || server->number != holder)
-            continue;
-        server->load += baseLoad + (hasState ? state->second.load : 0);
-        ++server->ranges;
-    }
-    return std::move(servers);
-}
-
 void Coordinator::tick(Core::TimePoint now)
 {
     for (auto const& [number, server] : state_.servers()) {
@@ -486,145 +394,6 @@
     }
 }
 
-void Coordinator::updateLoads()
-{
-    auto const seconds = std::chrono::duration<double>(balanceInterval).count();
-    for (auto const& [pool, counts] : keyArrivals_) {
-        auto& loads = keyLoads_[pool];
-        for (auto const& [key, count] : counts)
-            loads.try_emplace(key, 0);
-        for (auto& [key, load] : loads) {
-            auto const arrived = counts.find(key);
-            auto const rate = arrived == counts.end() ? 0 : arrived->second / seconds;
-            load += loadSmoothing * (rate - load);
-        }
-        std::erase_if(loads, [](auto const& entry) { return entry.second < negligibleLoad; });
-    }
-    for (auto& [pool, counts] : keyArrivals_)
-        counts.clear();
-    for (auto& [pool, states] : ranges_) {
-        auto const& loads = keyLoads_[pool];
-        for (auto const& range : state_.keys(pool)) {
-            auto& state = states[range.first];
-            state.load = 0;
-            for (auto key = loads.lower_bound(range.first); key != loads.end() && key->first <= range.last; ++key)
-                state.load += key->second;
-        }
-    }
-}
-
-/// Cuts hot ranges of overloaded servers into parts of about the same load, so that they can be spread.
-void Coordinator::splitHotRanges(PoolItem const& pool, std::span<PlacementServer const> servers, Core::TimePoint)
-{
-    auto const service = meanServiceSeconds(pool.name);
-    auto const& loads = keyLoads_[pool.name];
-    auto& soft = ranges_[pool.name];
-    for (auto const& range : state_.keys(pool.name)) {
-        auto const owner = std::ranges::lower_bound(servers, range.owner, {}, &PlacementServer::number);
-        if (owner == servers.end() || owner->number != range.owner || range.first == range.last)
-            continue;
-        auto const& state = soft[range.first];
-        auto const isBusy = owner->utilization() * service > 1 - hotPart;
-        auto const isHot = state.load * service > hotPart * owner->capacity;
-        if (!isBusy || !isHot || state.isProposed || owner->ranges + splitParts > RangePlacement::maxRangesPerServer)
-            continue;
-        double sum = 0;
-        std::size_t part = 1;
-        for (auto key = loads.lower_bound(range.first); key != loads.end() && key->first <= range.last; ++key) {
-            auto const border = state.load * static_cast<double>(part) / splitParts;
-            if (sum >= border && key->first > range.first) {
-                pending_.splits.push_back({ pool.name, key->first });
-                ++part;
-            }
-            sum += key->second;
-        }
-    }
-}
-
-void Coordinator::plan(Core::TimePoint now)
-{
-    for (auto const& [name, pool] : state_.pools()) {
-        if (pool.item && pool.item->isKeyDivided)
-            planPool(*pool.item, now);
-    }
-}
-
-/// Gives each range whose owner cannot keep it a next owner.
-void Coordinator::planPool(PoolItem const& pool, Core::TimePoint now)
-{
-    auto const keys = state_.keys(pool.name);
-    if (keys.empty()) {
-        layOut(pool, now);
-        return;
-    }
-    auto& soft = ranges_[pool.name];
-    std::optional<std::vector<PlacementServer>> servers;
-    auto const choose = [&](RangeState const& state) {
-        if (!servers)
-            servers = placementServers(pool.name, now, now + releaseTime);
-        auto const* const server = RangePlacement::choose(*servers, baseLoad + state.load);
-        return server ? server->number : ServerNumber { 0 };
-    };
-    for (auto const& range : keys) {
-        auto& state = soft[range.first];
-        if (state.isProposed)
-            continue;
-        auto const* const owner = state_.findServer(range.owner);
-        auto const isFree = range.owner == 0 || now >= leaseEnd(range.owner) || hasEnded(range.owner, now);
-        if (owner && !isFree && mayOwn(*owner, now)) {
-            // The target may have left since it was chosen.
-            auto const* const target = state_.findServer(state.target);
-            if (!state.isRevoked && state.target != 0 && (!target || !mayOwn(*target, now)))
-                state.target = 0;
-            if (!state.isRevoked || (target && mayOwn(*target, now)))
-                continue;
-            state.target = choose(state);
-            continue;
-        }
-        auto const* const target = state_.findServer(state.target);
-        if (state.target == 0 || !target || !mayOwn(*target, now) || state.target == range.owner) {
-            state.target = choose(state);
-            state.targetSince = now;
-        }
-        if (isFree && state.target != 0)
-            propose(pool.name, range, state, state.target, {});
-    }
-}
-
-void Coordinator::layOut(PoolItem const& pool, Core::TimePoint now)
-{
-    auto const joined = lastJoin_.find(pool.name);
-    if (joined == lastJoin_.end() || now - joined->second < settleTime)
-        return;
-    auto servers = placementServers(pool.name, now, now);
-    auto assignments = RangePlacement::layOut(pool.name, servers);
-    for (auto& assignment : assignments) {
-        auto& state = ranges_[pool.name][assignment.first];
-        if (std::exchange(state.isProposed, true))
-            return;
-        pending_.assignments.push_back(std::move(assignment));
-    }
-}
-
-void Coordinator::balancePool(PoolItem const& pool, Core::TimePoint now)
-{
-    auto const keys = state_.keys(pool.name);
-    auto& soft = ranges_[pool.name];
-    std::vector<PlacementRange> movable;
-    for (std::size_t i = 0; i < keys.size(); ++i) {
-        auto const& state = soft[keys[i].first];
-        if (state.target == 0 && !state.isProposed && state.isGranted && now - state.movedAt >= moveCooldown)
-            movable.push_back({ i, keys[i].owner, baseLoad + state.load });
-    }
-    auto servers = placementServers(pool.name, now, now);
-    splitHotRanges(pool, servers, now);
-    for (auto const& move : RangePlacement::balance(servers, std::move(movable), meanServiceSeconds(pool.name))) {
-        auto& state = soft[keys[move.index].first];
-        state.target = move.to;
-        state.targetSince = now;
-    }
-}
-
 std::optional<Command> Coordinator::takeCommand()
 {
     auto const isEmpty = pending_.assignments.empty() && pending_.splits.empty() && pending_.servers.removed.empty();
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -165,7 +165,7 @@
     /// When the server's next heartbeat from a point in time on is expected.
     Core::TimePoint nextBeat(ServerNumber, Core::TimePoint from) const;
     bool mustRevokeNow(RangeState const&, ServerRecord const& owner, Core::TimePoint now) const;
-    void splitHotRanges(PoolItem const&, std::span<PlacementServer const>, Core::TimePoint now);
+    void splitHotRanges(PoolItem const&, std::span<PlacementServer const>);
     bool isStale(ServerRecord const&, Heartbeat const&) const;
     bool mayOwn(ServerRecord const&, Core::TimePoint now) const;
     bool isCold(ServerNumber, Core::TimePoint now) const;
@@ -184,6 +184,12 @@
     void updateLoads();
     void confirmSuspicions(ServerNumber, Core::TimePoint now);
 
+    /// Of loads and of the search for better owners; the reports of entry hosts come as often.
+    static constexpr Core::Duration balanceInterval = std::chrono::milliseconds(500);
+    /// From the answer that takes a range away until its release is committed: the work that is under way, the next
+    /// heartbeat within 100 ms, and a write to the disks.
+    static constexpr Core::Duration releaseTime = std::chrono::milliseconds(200);
+
     State const& state_;
     CoordinatorSettings settings_;
     Core::TimePoint startedAt_;
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -26,6 +26,8 @@
     constexpr Core::Duration ownerGrace = std::chrono::milliseconds(400);
     /// How long an entry host waits for news of an owner that refused a key as not its own.
     constexpr Core::Duration misdirectedWait = std::chrono::milliseconds(150);
+    /// A refusal is given this long before the deadline, so that it still reaches the caller.
+    constexpr Core::Duration refusalMargin = std::chrono::milliseconds(50);
     /// Pause before a request is sent again to the only server that may run it.
     constexpr Core::Duration sameServerPause = std::chrono::milliseconds(40);
     /// When a caller should come back if nothing better is known.
@@ -143,7 +145,8 @@
     auto const* const owner = gateway_.view_.findOwner(pool_, *terms_.key);
     auto const* const server = owner ? gateway_.view_.findServer(owner->server) : nullptr;
     if (!server || !gateway_.view_.mayServeKeys(*server, gateway_.loop_.now())) {
-        waitForOwner(owner ? owner->expectedAt : gateway_.loop_.now() + defaultRetryAfter);
+        auto const expectedAt = owner ? owner->expectedAt : gateway_.loop_.now() + defaultRetryAfter;
+        waitForOwner(expectedAt, expectedAt + ownerGrace);
         return;
     }
     if (!mayRunAt(server->record.number)) {
@@ -242,10 +245,10 @@
     return true;
 }
 
-void Exchange::waitForOwner(Core::TimePoint expectedAt)
+void Exchange::waitForOwner(Core::TimePoint expectedAt, Core::TimePoint latest)
 {
     auto const now = gateway_.loop_.now();
-    auto const latest = std::min(expectedAt + ownerGrace, deadline_ - std::chrono::milliseconds(50));
+    latest = std::min(latest, deadline_ - refusalMargin);
     if (expectedAt > deadline_ || latest <= now) {
         refuse("no-owner", std::max(expectedAt - now, defaultRetryAfter));
         return;
@@ -316,7 +319,7 @@
     }
     // The same owner would say the same again: only news of another owner helps.
     if (isMisdirected) {
-        waitForOwner(gateway_.loop_.now() + misdirectedWait - ownerGrace);
+        waitForOwner(gateway_.loop_.now(), gateway_.loop_.now() + misdirectedWait);
         return;
     }
     if (left() > sameServerPause && mayTryAgain())
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -30,7 +30,8 @@
     void placeAnywhere(Fleet::PoolItem const&);
     bool trySend(Fleet::ViewServer const&, Fleet::PoolItem const&);
     AdmissionQuery admissionQuery();
-    void waitForOwner(Core::TimePoint expectedAt);
+    /// Refuses at once if the owner is expected too late, and at the latest after this time.
+    void waitForOwner(Core::TimePoint expectedAt, Core::TimePoint latest);
     void onNotRun(bool isMisdirected);
     /// Whether another send is allowed after one that ended without a usable answer.
     bool mayTryAgain();
--- a/Tests/LibControlHost/TestControlHost.cpp
+++ b/Tests/LibControlHost/TestControlHost.cpp
@@ -1,10 +1,9 @@
+#include "../Support/Loopback.h"
+
 #include <LibControlHost/ControlHost.h>
 #include <LibStorage/RealDisk.h>
 
-#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <filesystem>
@@ -13,19 +12,6 @@
 
 namespace {
 
-std::uint16_t freePort()
-{
-    auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof address;
-    BOOST_REQUIRE_EQUAL(::bind(fd, reinterpret_cast<sockaddr*>(&address), length), 0);
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-    ::close(fd);
-    return ntohs(address.sin_port);
-}
-
 /// Five control hosts on one loop, each with a directory of its own; the first three are the seeds.
 class Group {
 public:
@@ -37,7 +23,7 @@
     {
         std::filesystem::remove_all(root_);
         for (std::size_t i = 0; i < size; ++i)
-            addresses_.push_back({ "127.0.0.1", freePort() });
+            addresses_.push_back({ "127.0.0.1", Test::freePort() });
     }
     ~Group()
     {
@@ -87,12 +73,7 @@
 
     bool runUntil(std::function<bool()> const& condition, Core::Duration limit = 10s)
     {
-        auto const deadline = Core::BootClock::now() + limit;
-        while (!condition() && Core::BootClock::now() < deadline) {
-            loop_.after(5ms, [this] { loop_.stop(); });
-            loop_.run();
-        }
-        return condition();
+        return Test::runUntil(loop_, condition, limit);
     }
 
     /// Whether all five identities of the running hosts vote.
--- a/Tests/LibGateway/FakeServers.cpp
+++ b/Tests/LibGateway/FakeServers.cpp
@@ -1,12 +1,6 @@
 #include "FakeServers.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
-
-#include <cstdlib>
-
 namespace TestGateway {
 
 Gateway::RequestTerms TestCodec::readRequest(Proxy::MessageHead const& head) const
@@ -96,34 +90,6 @@
 
 FakeServer::~FakeServer() = default;
 
-std::uint16_t freePort()
-{
-    auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof address;
-    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), length) != 0)
-        std::abort();
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-    ::close(fd);
-    return ntohs(address.sin_port);
-}
-
-bool runUntil(Net::EventLoop& loop, std::function<bool()> const& condition)
-{
-    auto const deadline = Core::BootClock::now() + 5s;
-    while (!condition() && Core::BootClock::now() < deadline)
-        runFor(loop, 2ms);
-    return condition();
-}
-
-void runFor(Net::EventLoop& loop, Core::Duration time)
-{
-    loop.after(time, [&loop] { loop.stop(); });
-    loop.run();
-}
-
 std::string headerOf(std::string const& bytes, std::string const& name)
 {
     auto const at = bytes.find("\r\n" + name + ": ");
--- a/Tests/LibGateway/FakeServers.h
+++ b/Tests/LibGateway/FakeServers.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "../Support/Loopback.h"
+
 #include <LibGateway/RequestCodec.h>
 #include <LibNet/HttpServer.h>
 
@@ -9,7 +11,7 @@
 /// Loopback stand-ins for callers and backend servers. All run on the loop of the test.
 namespace TestGateway {
 
-using namespace std::chrono_literals;
+using namespace Test;
 
 /// Header names of the tests' own.
 class TestCodec final : public Gateway::RequestCodec {
@@ -50,13 +52,6 @@
     std::unique_ptr<Net::Listener> listener_;
 };
 
-/// A port of the loopback interface that nothing listens on.
-std::uint16_t freePort();
-/// Runs the loop until the condition holds. False after five seconds.
-bool runUntil(Net::EventLoop&, std::function<bool()> const& condition);
-/// Runs the loop for this long.
-void runFor(Net::EventLoop&, Core::Duration);
-
 /// The value of a header of raw bytes.
 std::string headerOf(std::string const& bytes, std::string const& name);
 /// An answer that echoes the attempt's id.
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -1,43 +1,15 @@
+#include "../Support/Loopback.h"
+
 #include <LibNet/FrameChannel.h>
 #include <LibNet/HttpServer.h>
 
-#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-using namespace std::chrono_literals;
+using namespace Test;
 
 namespace {
 
-std::uint16_t freePort()
-{
-    auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof address;
-    BOOST_REQUIRE_EQUAL(::bind(fd, reinterpret_cast<sockaddr*>(&address), length), 0);
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-    ::close(fd);
-    return ntohs(address.sin_port);
-}
-
-void runFor(Net::EventLoop& loop, Core::Duration time)
-{
-    loop.after(time, [&loop] { loop.stop(); });
-    loop.run();
-}
-
-bool runUntil(Net::EventLoop& loop, std::function<bool()> const& condition, Core::Duration limit = 5s)
-{
-    auto const deadline = Core::BootClock::now() + limit;
-    while (!condition() && Core::BootClock::now() < deadline)
-        runFor(loop, 2ms);
-    return condition();
-}
-
 /// Collects what arrives on a connection.
 class Peer final : public Net::StreamHandler {
 public:
--- /dev/null
+++ b/Tests/Support/Loopback.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <LibNet/EventLoop.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+
+/// What several test programs need to run hosts on the loopback interface and one event loop.
+namespace Test {
+
+using namespace std::chrono_literals;
+
+/// A port of the loopback interface that nothing listens on.
+inline std::uint16_t freePort()
+{
+    auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    if (::bind(fd, reinterpret_cast<sockaddr*>(&address), length) != 0
+        || ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length) != 0)
+        std::abort();
+    ::close(fd);
+    return ntohs(address.sin_port);
+}
+
+/// Runs the loop for this long.
+inline void runFor(Net::EventLoop& loop, Core::Duration time)
+{
+    loop.after(time, [&loop] { loop.stop(); });
+    loop.run();
+}
+
+/// Runs the loop until the condition holds. False after the limit.
+inline bool runUntil(Net::EventLoop& loop, std::function<bool()> const& condition, Core::Duration limit = 5s)
+{
+    auto const deadline = Core::BootClock::now() + limit;
+    while (!condition() && Core::BootClock::now() < deadline)
+        runFor(loop, 2ms);
+    return condition();
+}
+
+} // namespace Test
