--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// A request with four seconds left that is refused within this time was not held. Leaves room for sanitizers and load.
+constexpr Core::Duration soonBeforeDeadline = 1s;
+
 Core::PoolName const keyed { "keyed" };
 Core::PoolName const unkeyed { "unkeyed" };
 
@@ -76,7 +79,7 @@
         item.host = "host.example";
         item.prefix = prefix;
         item.kind = kind;
-        item.timeoutMs = 600;
+        item.timeoutMs = 5000;
         item.maxAttempts = 2;
         item.shares = { { pool, 1 } };
         return item;
@@ -137,7 +140,7 @@
     }
 
     static std::string request(
-        std::string const& path, std::string const& id, std::string const& body = {}, int leftMs = 500)
+        std::string const& path, std::string const& id, std::string const& body = {}, int leftMs = 4000)
     {
         auto const method = body.empty() ? "GET " : "POST ";
         auto const length = body.empty() ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -183,7 +186,7 @@
     BOOST_TEST(sent.ends_with("\r\n\r\npayload"));
     BOOST_TEST(headerOf(sent, "Attempt") == "id-1");
     BOOST_TEST(headerOf(sent, "Target") == "life-1");
-    BOOST_TEST(std::stoi(headerOf(sent, "Left-Ms")) <= 500);
+    BOOST_TEST(std::stoi(headerOf(sent, "Left-Ms")) <= 4000);
     BOOST_TEST(caller->received().starts_with("HTTP/1.1 201 Made\r\n"));
     BOOST_TEST(headerOf(caller->received(), "Seal") == "abc");
     BOOST_TEST(headerOf(caller->received(), "Keep-Alive").empty());
@@ -374,7 +377,7 @@
     gateway.apply(update);
     auto const began = Core::BootClock::now();
     BOOST_TEST(ask(request("/unsafe/x", "1", "b"))->status() == "503");
-    BOOST_TEST((Core::BootClock::now() - began < 200ms));
+    BOOST_TEST((Core::BootClock::now() - began < soonBeforeDeadline));
 }
 
 BOOST_AUTO_TEST_CASE(ARequestWaitsForAnOwnerThatIsAboutToCome)
@@ -397,11 +400,11 @@
 {
     configure();
     Fleet::ViewUpdate update;
-    update.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 5000 });
+    update.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 60000 });
     gateway.apply(update);
     auto const began = Core::BootClock::now();
     BOOST_TEST(ask(request("/safe/x", "1"))->status() == "503");
-    BOOST_TEST((Core::BootClock::now() - began < 100ms));
+    BOOST_TEST((Core::BootClock::now() - began < soonBeforeDeadline));
 }
 
 BOOST_AUTO_TEST_CASE(ASilentServerEndsInATimeoutThatPromisesNothing)
