Publish no range that an answer left out; log the id of requests refused at start

Cause (read in review): a range that did not fit into the 4 KiB answer stayed published to entry hosts if the server had held it, although the server gives up what is left out; refusals while stopping or without a configuration had no request id. Change: such a range counts as not granted; terms are read before the first refusal. Test: AnAnswerFitsIntoFourKibibytes also compares what is published with what was granted.

--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -221,9 +221,9 @@
         });
         auto const handover = isHeld ? std::string() : range.handover;
         auto const needed = bytesPerRange + handover.size();
-        // What does not fit follows with the next heartbeat.
+        // What does not fit follows with the next heartbeat; the server gives up what is left out, held or not.
         if (bytes + needed > maxGrantBytes) {
-            state.isGranted = state.isGranted && isHeld;
+            state.isGranted = false;
             publish(server.pool, range, state);
             continue;
         }
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -71,6 +71,8 @@
 /// False if the request was answered already.
 bool Exchange::readTerms()
 {
+    terms_ = gateway_.codec_.readRequest(request_.head);
+    deadline_ = request_.startedAt + terms_.timeLeft.value_or(Core::Duration::zero());
     if (!gateway_.isTaking_) {
         refuse("stopping", {});
         return false;
@@ -79,7 +81,6 @@
         refuse("no-configuration", defaultRetryAfter);
         return false;
     }
-    terms_ = gateway_.codec_.readRequest(request_.head);
     auto const host = request_.head.find("Host").value_or("");
     auto const* const route = gateway_.view_.findRoute(host, pathOf(request_.head.target));
     if (!route) {
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -290,9 +290,15 @@
     beat(leader, a);
     auto const grant = leader.beat(b.makeBeat());
     std::size_t bytes = 0;
-    for (auto const& range : grant->ranges)
+    std::set<std::uint32_t> granted;
+    for (auto const& range : grant->ranges) {
         bytes += 26 + range.handover.size();
+        granted.insert(range.first);
+    }
     BOOST_TEST(bytes < 4000);
+    // Entry hosts are sent to the server only for what it was granted.
+    for (auto const& row : leader.coordinator().allRows())
+        BOOST_TEST((row.owner == 0 || granted.contains(row.first)));
     run(leader, { &b }, 3);
     BOOST_TEST(heldKeyCount(b) == keyCount);
 }
