Plan only the ranges of the server that sent a heartbeat

Cause: each heartbeat of a leaving or evacuated server planned all 4,400 ranges (1.57 ms, callgrind-free timing of the coordinator with 396 servers).

Change: a heartbeat plans the ranges of its sender; a round of planning looks at each server once and walks ranges and their states together.

Test: HeartbeatsOfManyLeavingServersLeaveTheLeaderTimeForItsGroup.

--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -173,7 +173,7 @@
         return std::nullopt;
     settleReleases(*known, beat);
     if (known->isDraining || !mayOwn(*known, now))
-        planPool(*pool, now);
+        planServer(*pool, known->number, now);
     auto grant = makeGrant(*known, beat, now);
     auto const hold = std::chrono::duration_cast<Core::Duration>(settings_.hold * (1 + settings_.clockDrift));
     leases_[known->number] = receivedAt + hold + leaseMargin;
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -158,6 +158,20 @@
         std::string fingerprint;
         Core::TimePoint at;
     };
+    /// What planning has to know of a server, found out once a round: a server has many ranges.
+    struct ServerStanding {
+        bool isPresent { false };
+        bool mayOwn { false };
+        /// It holds no key any more.
+        bool isFree { false };
+    };
+    /// One round of planning for one pool.
+    struct PlanRound {
+        Core::PoolName const& pool;
+        Core::TimePoint now;
+        std::unordered_map<ServerNumber, ServerStanding> standings;
+        std::optional<std::vector<PlacementServer>> candidates;
+    };
 
     Core::TimePoint leaseEnd(ServerNumber) const;
     /// The process of this life is proved to have ended: its address refuses connections, and nothing else is heard.
@@ -169,12 +183,19 @@
     bool isStale(ServerRecord const&, Heartbeat const&) const;
     bool mayOwn(ServerRecord const&, Core::TimePoint now) const;
     bool isCold(ServerNumber, Core::TimePoint now) const;
+    ServerStanding const& standingOf(PlanRound&, ServerNumber) const;
+    ServerNumber chooseTarget(PlanRound&, RangeState const&) const;
+    void planRange(PlanRound&, KeyRange const&, RangeState&);
+    /// Calls with each range of the pool and its state, in order.
+    template <typename Function> void forEachRange(Core::PoolName const&, Function const&);
     /// `from` is when a range could be taken over.
     std::vector<PlacementServer> placementServers(
         Core::PoolName const&, Core::TimePoint now, Core::TimePoint from) const;
     double meanServiceSeconds(Core::PoolName const&) const;
     void plan(Core::TimePoint now);
     void planPool(PoolItem const&, Core::TimePoint now);
+    /// Plans only the ranges of one server. A heartbeat costs no more than a look at the ranges of its sender.
+    void planServer(PoolItem const&, ServerNumber, Core::TimePoint now);
     void layOut(PoolItem const&, Core::TimePoint now);
     void balancePool(PoolItem const&, Core::TimePoint now);
     void settleReleases(ServerRecord const&, Heartbeat const&);
--- a/Libraries/LibFleet/CoordinatorPlan.cpp
+++ b/Libraries/LibFleet/CoordinatorPlan.cpp
@@ -32,6 +32,18 @@
 
 } // namespace
 
+template <typename Function> void Coordinator::forEachRange(Core::PoolName const& pool, Function const& function)
+{
+    // Both are sorted by the first key, so the states are found without a search.
+    auto& soft = ranges_[pool];
+    auto state = soft.begin();
+    for (auto const& range : state_.keys(pool)) {
+        state = soft.try_emplace(state, range.first);
+        function(range, state->second);
+        ++state;
+    }
+}
+
 bool Coordinator::mayOwn(ServerRecord const& server, Core::TimePoint now) const
 {
     if (server.isDraining || state_.evacuated().contains(server.domain.value) || hasEnded(server.number, now))
@@ -86,9 +98,11 @@
     auto const soft = ranges_.find(pool);
     if (soft == ranges_.end())
         return std::move(servers);
+    auto state = soft->second.begin();
     for (auto const& range : state_.keys(pool)) {
-        auto const state = soft->second.find(range.first);
-        auto const hasState = state != soft->second.end();
+        while (state != soft->second.end() && state->first < range.first)
+            ++state;
+        auto const hasState = state != soft->second.end() && state->first == range.first;
         auto const holder = hasState && state->second.target != 0 ? state->second.target : range.owner;
         auto const server = std::ranges::lower_bound(servers, holder, {}, &PlacementServer::number);
         if (server == servers.end() || server->number != holder)
@@ -115,14 +129,15 @@
     }
     for (auto& [pool, counts] : keyArrivals_)
         counts.clear();
-    for (auto& [pool, states] : ranges_) {
+    for (auto const& [pool, states] : ranges_) {
         auto const& loads = keyLoads_[pool];
-        for (auto const& range : state_.keys(pool)) {
-            auto& state = states[range.first];
+        auto key = loads.begin();
+        // Ranges cover all keys in order.
+        forEachRange(pool, [&](KeyRange const& range, RangeState& state) {
             state.load = 0;
-            for (auto key = loads.lower_bound(range.first); key != loads.end() && key->first <= range.last; ++key)
+            for (; key != loads.end() && key->first <= range.last; ++key)
                 state.load += key->second;
-        }
+        });
     }
 }
 
@@ -136,10 +151,11 @@
         auto const owner = std::ranges::lower_bound(servers, range.owner, {}, &PlacementServer::number);
         if (owner == servers.end() || owner->number != range.owner || range.first == range.last)
             continue;
+        if (owner->utilization() * service <= 1 - hotPart)
+            continue;
         auto const& state = soft[range.first];
-        auto const isBusy = owner->utilization() * service > 1 - hotPart;
         auto const isHot = state.load * service > hotPart * owner->capacity;
-        if (!isBusy || !isHot || state.isProposed || owner->ranges + splitParts > RangePlacement::maxRangesPerServer)
+        if (!isHot || state.isProposed || owner->ranges + splitParts > RangePlacement::maxRangesPerServer)
             continue;
         double sum = 0;
         std::size_t part = 1;
@@ -162,45 +178,65 @@
     }
 }
 
-/// Gives each range whose owner cannot keep it a next owner.
+Coordinator::ServerStanding const& Coordinator::standingOf(PlanRound& round, ServerNumber number) const
+{
+    auto const [found, isNew] = round.standings.try_emplace(number);
+    auto& standing = found->second;
+    if (!isNew)
+        return standing;
+    auto const* const server = state_.findServer(number);
+    standing.isPresent = server != nullptr;
+    standing.mayOwn = server && mayOwn(*server, round.now);
+    standing.isFree = number == 0 || round.now >= leaseEnd(number) || hasEnded(number, round.now);
+    return standing;
+}
+
+ServerNumber Coordinator::chooseTarget(PlanRound& round, RangeState const& state) const
+{
+    if (!round.candidates)
+        round.candidates = placementServers(round.pool, round.now, round.now + releaseTime);
+    auto const* const server = RangePlacement::choose(*round.candidates, baseLoad + state.load);
+    return server ? server->number : ServerNumber { 0 };
+}
+
+/// Gives a range whose owner cannot keep it a next owner.
+void Coordinator::planRange(PlanRound& round, KeyRange const& range, RangeState& state)
+{
+    if (state.isProposed)
+        return;
+    auto const owner = standingOf(round, range.owner);
+    // The target may have left since it was chosen.
+    auto const hasTarget = state.target != 0 && standingOf(round, state.target).mayOwn;
+    if (owner.isPresent && !owner.isFree && owner.mayOwn) {
+        if (!hasTarget)
+            state.target = state.isRevoked ? chooseTarget(round, state) : 0;
+        return;
+    }
+    if (!hasTarget || state.target == range.owner) {
+        state.target = chooseTarget(round, state);
+        state.targetSince = round.now;
+    }
+    if (owner.isFree && state.target != 0)
+        propose(round.pool, range, state, state.target, {});
+}
+
 void Coordinator::planPool(PoolItem const& pool, Core::TimePoint now)
 {
-    auto const keys = state_.keys(pool.name);
-    if (keys.empty()) {
+    if (state_.keys(pool.name).empty()) {
         layOut(pool, now);
         return;
     }
+    PlanRound round { pool.name, now, {}, {} };
+    forEachRange(pool.name, [&](KeyRange const& range, RangeState& state) { planRange(round, range, state); });
+}
+
+void Coordinator::planServer(PoolItem const& pool, ServerNumber server, Core::TimePoint now)
+{
+    PlanRound round { pool.name, now, {}, {} };
     auto& soft = ranges_[pool.name];
-    std::optional<std::vector<PlacementServer>> servers;
-    auto const choose = [&](RangeState const& state) {
-        if (!servers)
-            servers = placementServers(pool.name, now, now + releaseTime);
-        auto const* const server = RangePlacement::choose(*servers, baseLoad + state.load);
-        return server ? server->number : ServerNumber { 0 };
-    };
-    for (auto const& range : keys) {
-        auto& state = soft[range.first];
-        if (state.isProposed)
-            continue;
-        auto const* const owner = state_.findServer(range.owner);
-        auto const isFree = range.owner == 0 || now >= leaseEnd(range.owner) || hasEnded(range.owner, now);
-        if (owner && !isFree && mayOwn(*owner, now)) {
-            // The target may have left since it was chosen.
-            auto const* const target = state_.findServer(state.target);
-            if (!state.isRevoked && state.target != 0 && (!target || !mayOwn(*target, now)))
-                state.target = 0;
-            if (!state.isRevoked || (target && mayOwn(*target, now)))
-                continue;
-            state.target = choose(state);
-            continue;
-        }
-        auto const* const target = state_.findServer(state.target);
-        if (state.target == 0 || !target || !mayOwn(*target, now) || state.target == range.owner) {
-            state.target = choose(state);
-            state.targetSince = now;
-        }
-        if (isFree && state.target != 0)
-            propose(pool.name, range, state, state.target, {});
+    for (auto const& range : state_.keys(pool.name)) {
+        if (range.owner == server)
+            planRange(round, range, soft[range.first]);
     }
 }
 
@@ -224,11 +260,12 @@
     auto const keys = state_.keys(pool.name);
     auto& soft = ranges_[pool.name];
     std::vector<PlacementRange> movable;
-    for (std::size_t i = 0; i < keys.size(); ++i) {
-        auto const& state = soft[keys[i].first];
+    std::size_t index = 0;
+    forEachRange(pool.name, [&](KeyRange const& range, RangeState const& state) {
         if (state.target == 0 && !state.isProposed && state.isGranted && now - state.movedAt >= moveCooldown)
-            movable.push_back({ i, keys[i].owner, baseLoad + state.load });
-    }
+            movable.push_back({ index, range.owner, baseLoad + state.load });
+        ++index;
+    });
     auto servers = placementServers(pool.name, now, now);
     splitHotRanges(pool, servers);
     for (auto const& move : RangePlacement::balance(servers, std::move(movable), meanServiceSeconds(pool.name))) {
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -1,5 +1,7 @@
 #include "Builders.h"
 
+#include <ctime>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace TestFleet;
@@ -394,3 +396,35 @@
     BOOST_TEST(leader.coordinator().quarantined(leader.now()) == std::vector<std::string> { "poison" },
         boost::test_tools::per_element());
 }
+
+BOOST_AUTO_TEST_CASE(HeartbeatsOfManyLeavingServersLeaveTheLeaderTimeForItsGroup)
+{
+    // A seventh of 396 servers leave together and send a heartbeat each 100 ms until they have given up their keys. The
+    // leader has 0.3 of a core and lost its group while it planned all ranges for each of them.
+    constexpr int serverCount = 396;
+    constexpr int leavingCount = serverCount / 7;
+    constexpr int beatsOfEach = 20;
+    constexpr double coreShare = 0.3;
+    constexpr double seconds = 2;
+    Leader leader;
+    std::vector<Server> servers;
+    for (int i = 0; i < serverCount; ++i) {
+        servers.emplace_back(makeServer(i));
+        servers.back().record.address.port = static_cast<std::uint16_t>(1000 + i);
+    }
+    for (int round = 0; round < 3; ++round) {
+        for (auto& server : servers)
+            beat(leader, server);
+        leader.advance(1s);
+    }
+    auto const began = std::clock();
+    for (int round = 0; round < beatsOfEach; ++round) {
+        for (int i = 0; i < leavingCount; ++i) {
+            servers[static_cast<std::size_t>(i)].isDraining = true;
+            beat(leader, servers[static_cast<std::size_t>(i)]);
+        }
+    }
+    auto const used = static_cast<double>(std::clock() - began) / CLOCKS_PER_SEC;
+    BOOST_TEST(used < coreShare * seconds);
+    BOOST_TEST(servers.front().holds.empty());
+}
