Send on a new connection only once it has lasted for 3 ms

Cause: a server with a long queue resets new connections at once.

Change: a request waits until its new connection has lasted for 3 ms. One that ends before is a server that takes no more connections: the request was not sent, the caller is refused with a time to come back, and the server is left alone a while.

Test: ARequestWhoseServerTakesNoMoreConnectionsIsRefusedAndMayComeBack (502 without the change).

--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -347,7 +347,9 @@
         { { "request", terms_.attemptId }, { "route", route_.value },
             { "server", server ? server->record.name.value : "" }, { "failure", Net::toString(failure) },
             { "afterMs", Core::toMilliseconds(now - sentAt_) } });
-    if (failure == Net::ExchangeFailure::NotConnected || failure == Net::ExchangeFailure::Refused) {
+    auto const wasSent = failure != Net::ExchangeFailure::NotConnected && failure != Net::ExchangeFailure::Refused
+        && failure != Net::ExchangeFailure::TurnedAway;
+    if (!wasSent) {
         // Nothing was sent.
         if (failure == Net::ExchangeFailure::Refused)
             gateway_.countRefusal(server_);
--- a/Libraries/LibGateway/ServerLinks.cpp
+++ b/Libraries/LibGateway/ServerLinks.cpp
@@ -14,11 +14,16 @@
     constexpr Core::Duration freshIdle = std::chrono::seconds(3);
     constexpr Core::Duration sweepInterval = std::chrono::seconds(1);
 
+    /// A server needs about a millisecond to accept a connection or to turn it away, and the reset half a round trip
+    /// between failure domains.
+    constexpr Core::Duration settleTime = std::chrono::milliseconds(3);
+
     Net::HttpClientSettings linkSettings()
     {
         Net::HttpClientSettings settings;
         // A connection to a host in the same region takes a few milliseconds; one lost packet costs a second.
         settings.stream.silenceTimeout = std::chrono::milliseconds(1500);
+        settings.settleTime = settleTime;
         return settings;
     }
 
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -33,6 +33,8 @@
         return "not-connected";
     case ExchangeFailure::Refused:
         return "refused";
+    case ExchangeFailure::TurnedAway:
+        return "turned-away";
     case ExchangeFailure::NoAnswer:
         return "no-answer";
     case ExchangeFailure::Truncated:
@@ -55,6 +57,21 @@
 {
 }
 
+HttpClient::~HttpClient() { loop_.cancel(settleTimer_); }
+
+void HttpClient::onConnected(Stream&)
+{
+    settleTimer_ = loop_.after(settings_.settleTime, [this] { settle(); });
+}
+
+void HttpClient::settle()
+{
+    settleTimer_ = {};
+    isSettled_ = true;
+    stream_.write(unsent_);
+    unsent_ = {};
+}
+
 void HttpClient::send(std::string_view bytes, bool expectsNoBody)
 {
     isBusy_ = true;
@@ -63,7 +80,10 @@
     reader_ = std::nullopt;
     hasHead_ = false;
     body_.clear();
-    stream_.write(bytes);
+    if (isSettled_)
+        stream_.write(bytes);
+    else
+        unsent_ = bytes;
 }
 
 void HttpClient::onData(Stream&)
@@ -74,6 +94,10 @@
         handler_.onIdleEnd(*this);
         return;
     }
+    if (!isSettled_) {
+        fail(ExchangeFailure::TurnedAway);
+        return;
+    }
     while (isBusy_ && stream_.isOpen() && !stream_.input().isEmpty()) {
         if (!readAnswer())
             return;
@@ -138,7 +162,6 @@
     if (!answer.head.keepsAlive || !stream_.input().isEmpty())
         isReusable_ = false;
     isBusy_ = false;
-    ++completed_;
     lastUsed_ = loop_.now();
     stream_.input().releaseMemory();
     handler_.onAnswer(*this, std::move(answer));
@@ -154,6 +177,7 @@
 {
     isReusable_ = false;
     isBusy_ = false;
+    loop_.cancel(settleTimer_);
     stream_.close();
     handler_.onFailure(*this, failure);
 }
@@ -169,6 +193,10 @@
         fail(reason == StreamEnd::Refused ? ExchangeFailure::Refused : ExchangeFailure::NotConnected);
         return;
     }
+    if (!isSettled_) {
+        fail(ExchangeFailure::TurnedAway);
+        return;
+    }
     if (!hasHead_) {
         fail(ExchangeFailure::NoAnswer);
         return;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -11,6 +11,8 @@
     NotConnected,
     /// Nothing listens at the address.
     Refused,
+    /// The server ended a new connection at once, before anything was sent. It has too many.
+    TurnedAway,
     /// The connection ended before any byte of an answer.
     NoAnswer,
     /// The answer ended before it was complete.
@@ -46,27 +48,31 @@
     std::uint32_t maxHeadBytes { 64U * 1024 };
     /// Larger answers are refused, since an answer is held until it is complete.
     std::size_t maxBodyBytes { 16UL * 1024 * 1024 };
+    /// How long a new connection must have lasted before a request is sent on it. A server that has too many connections
+    /// resets a new one at once; whatever was sent by then has an unknown outcome.
+    Core::Duration settleTime {};
 };
 
 /// A connection to a server for one request at a time.
 class HttpClient final : private StreamHandler, public Reclaimable {
 public:
     HttpClient(EventLoop&, HttpClientHandler&, Core::Endpoint const&, HttpClientSettings const&);
+    ~HttpClient() override;
 
     /// Sends a request. `expectsNoBody` for the method HEAD.
     void send(std::string_view bytes, bool expectsNoBody);
     bool isBusy() const { return isBusy_; }
-    bool hasSent() const { return stream_.isConnected(); }
     /// The server keeps the connection open and nothing unexpected arrived on it.
     bool isReusable() const { return isReusable_ && stream_.isOpen(); }
     /// How long the server keeps an idle connection, if it says so.
     std::optional<Core::Duration> announcedIdleTimeout() const { return idleTimeout_; }
     Core::TimePoint lastUsed() const { return lastUsed_; }
-    std::uint64_t completedExchanges() const { return completed_; }
 
 private:
+    void onConnected(Stream&) override;
     void onData(Stream&) override;
     void onEnd(Stream&, StreamEnd) override;
+    void settle();
     bool readAnswer();
     void finishAnswer();
     void fail(ExchangeFailure);
@@ -76,6 +82,10 @@
     HttpClientHandler& handler_;
     HttpClientSettings settings_;
     Stream stream_;
+    /// The request waits until the connection has lasted for the settle time.
+    bool isSettled_ { false };
+    std::string unsent_;
+    EventLoop::TimerId settleTimer_;
     bool isBusy_ { false };
     bool isReusable_ { true };
     bool expectsNoBody_ { false };
@@ -84,7 +94,6 @@
     std::string body_;
     std::optional<Core::Duration> idleTimeout_;
     Core::TimePoint lastUsed_;
-    std::uint64_t completed_ { 0 };
 };
 
 } // namespace Net
--- a/Tests/LibGateway/FakeServers.cpp
+++ b/Tests/LibGateway/FakeServers.cpp
@@ -83,11 +83,24 @@
     : loop_(loop)
     , script_(std::move(script))
     , port_(freePort())
-    , listener_(Net::Listener::open(loop, { "127.0.0.1", port_ },
-          [this](int fd) { connections_.push_back(std::make_unique<Connection>(*this, fd)); }))
+    , listener_(Net::Listener::open(loop, { "127.0.0.1", port_ }, [this](int fd) { accept(fd); }))
 {
 }
 
+void FakeServer::accept(int fd)
+{
+    if (!turnsAway_) {
+        connections_.push_back(std::make_unique<Connection>(*this, fd));
+        return;
+    }
+    ++turnedAway_;
+    loop_.after(turnAwayTime, [fd] {
+        linger const abort { 1, 0 };
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+        ::close(fd);
+    });
+}
+
 FakeServer::~FakeServer() = default;
 
 std::string headerOf(std::string const& bytes, std::string const& name)
--- a/Tests/LibGateway/FakeServers.h
+++ b/Tests/LibGateway/FakeServers.h
@@ -39,15 +39,25 @@
     std::vector<std::string> const& requests() const { return requests_; }
     std::size_t closedByPeer() const { return closedByPeer_; }
     void setScript(Script script) { script_ = std::move(script); }
+    /// From now on new connections are reset as soon as they are accepted, as if there were too many.
+    void turnConnectionsAway() { turnsAway_ = true; }
+    std::size_t turnedAway() const { return turnedAway_; }
 
 private:
     class Connection;
 
+    /// What a server needs to notice that it has too many connections.
+    static constexpr Core::Duration turnAwayTime = std::chrono::milliseconds(1);
+
+    void accept(int fd);
+
     Net::EventLoop& loop_;
     Script script_;
     std::uint16_t port_ { 0 };
     std::vector<std::string> requests_;
     std::size_t closedByPeer_ { 0 };
+    bool turnsAway_ { false };
+    std::size_t turnedAway_ { 0 };
     std::vector<std::unique_ptr<Connection>> connections_;
     std::unique_ptr<Net::Listener> listener_;
 };
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -378,6 +378,18 @@
     BOOST_TEST((Core::BootClock::now() - began < soonBeforeDeadline));
 }
 
+BOOST_AUTO_TEST_CASE(ARequestWhoseServerTakesNoMoreConnectionsIsRefusedAndMayComeBack)
+{
+    // A server whose queue is long resets new connections at once. The request was not sent, so its caller may try again.
+    configure();
+    a.turnConnectionsAway();
+    auto const caller = ask(request("/unsafe/x", "1", "b"));
+    BOOST_TEST(caller->status() == "503");
+    BOOST_TEST(!headerOf(caller->received(), "Retry-After").empty());
+    BOOST_TEST(a.turnedAway() == 1U);
+    BOOST_TEST(a.requests().empty());
+}
+
 BOOST_AUTO_TEST_CASE(ARequestWaitsForAnOwnerThatIsAboutToCome)
 {
     configure();
