--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -155,6 +155,73 @@
     }
 }
 
+namespace {
+
+    template <typename T> void putUnlessEmpty(nlohmann::json& out, char const* key, std::vector<T> const& values)
+    {
+        if (!values.empty())
+            out[key] = values;
+    }
+
+    template <typename T> void putIfSet(nlohmann::json& out, char const* key, std::optional<T> const& value)
+    {
+        if (value)
+            out[key] = *value;
+    }
+
+    /// Leaves the value as it is if the key is missing.
+    template <typename T> void take(nlohmann::json const& in, char const* key, T& value)
+    {
+        auto const found = in.find(key);
+        if (found != in.end())
+            found->get_to(value);
+    }
+
+    template <typename T> void takeOptional(nlohmann::json const& in, char const* key, std::optional<T>& value)
+    {
+        auto const found = in.find(key);
+        if (found != in.end())
+            value = found->get<T>();
+    }
+
+} // namespace
+
+void to_json(nlohmann::json& out, ViewUpdate const& update)
+{
+    out = nlohmann::json::object();
+    if (update.isWhole)
+        out["isWhole"] = true;
+    if (update.itemRevision > 0)
+        out["itemRevision"] = update.itemRevision;
+    putUnlessEmpty(out, "routes", update.routes);
+    putUnlessEmpty(out, "pools", update.pools);
+    putIfSet(out, "limits", update.limits);
+    putIfSet(out, "evacuated", update.evacuated);
+    putUnlessEmpty(out, "servers", update.servers);
+    putUnlessEmpty(out, "removedServers", update.removedServers);
+    if (!update.ranges.rows.empty())
+        out["ranges"] = update.ranges;
+    putIfSet(out, "quarantined", update.quarantined);
+    putIfSet(out, "entryHosts", update.entryHosts);
+}
+
+void from_json(nlohmann::json const& in, ViewUpdate& update)
+{
+    if (!in.is_object())
+        throw nlohmann::json::type_error::create(302, "a view update is an object", &in);
+    take(in, "isWhole", update.isWhole);
+    take(in, "itemRevision", update.itemRevision);
+    take(in, "routes", update.routes);
+    take(in, "pools", update.pools);
+    takeOptional(in, "limits", update.limits);
+    takeOptional(in, "evacuated", update.evacuated);
+    take(in, "servers", update.servers);
+    take(in, "removedServers", update.removedServers);
+    take(in, "ranges", update.ranges);
+    takeOptional(in, "quarantined", update.quarantined);
+    takeOptional(in, "entryHosts", update.entryHosts);
+}
+
 bool ViewUpdate::isEmpty() const
 {
     return !isWhole && itemRevision == 0 && routes.empty() && pools.empty() && !limits && !evacuated && servers.empty()
--- a/Libraries/LibFleet/View.h
+++ b/Libraries/LibFleet/View.h
@@ -59,8 +59,9 @@
 
     bool isEmpty() const;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewUpdate, isWhole, itemRevision, routes, pools, limits, evacuated, servers,
-    removedServers, ranges, quarantined, entryHosts)
+/// Leaves out what is empty: most updates are a few ranges, and go to every entry host many times a second.
+void to_json(nlohmann::json&, ViewUpdate const&);
+void from_json(nlohmann::json const&, ViewUpdate&);
 
 /// Everything but the items up to `knownRevision`, which the receiver has. A revision beyond the state's own belongs to
 /// another history, and counts as none.
--- a/Libraries/LibGateway/EntryLink.cpp
+++ b/Libraries/LibGateway/EntryLink.cpp
@@ -9,11 +9,14 @@
 
 namespace {
 
-    /// Pause before the next control host is asked. Short, since a change of the leader takes about a second.
+    /// Pause before the next control host is asked after one has answered that it does not lead or has gone. Short, since
+    /// a change of the leader takes about a second.
     constexpr Core::Duration askInterval = std::chrono::milliseconds(100);
-    /// A control host that neither answers nor refuses within this time is passed over. A view that takes longer is not
-    /// cut off: the channel itself notices silence.
-    constexpr Core::Duration answerTimeout = std::chrono::milliseconds(600);
+    /// A control host that has not answered within this time may be frozen or behind a full link: the next one is asked
+    /// too. Ten round trips of an idle link.
+    constexpr Core::Duration besideInterval = std::chrono::milliseconds(250);
+    /// Control hosts that are asked at the same time. Two may be lost at once.
+    constexpr std::size_t maxAttempts = 3;
 
 } // namespace
 
@@ -25,7 +28,7 @@
     , name_(std::move(name))
     , seeds_(std::move(seeds))
 {
-    connectLater({});
+    seekLater({});
 }
 
 EntryLink::~EntryLink() { loop_.cancel(timer_); }
@@ -34,42 +37,59 @@
 
 void EntryLink::report(Fleet::LoadReport const& report)
 {
-    if (hasView_)
-        channel_->send(ControlHost::makeFrame(FrameType::Report, report));
+    if (leader_)
+        leader_->send(ControlHost::makeFrame(FrameType::Report, report));
 }
 
-Core::Endpoint EntryLink::nextCandidate()
+bool EntryLink::isTrying(Core::Endpoint const& endpoint) const
+{
+    return std::ranges::count(attempts_, endpoint, &Attempt::peer) > 0;
+}
+
+Core::Endpoint EntryLink::peerOf(Net::FrameChannel const& channel) const
+{
+    auto const found
+        = std::ranges::find_if(attempts_, [&](auto const& attempt) { return attempt.channel.get() == &channel; });
+    return found == attempts_.end() ? Core::Endpoint {} : found->peer;
+}
+
+/// The next control host, in turn, that is not being asked already.
+std::optional<Core::Endpoint> EntryLink::nextCandidate()
 {
-    if (hinted_)
-        return *std::exchange(hinted_, std::nullopt);
     auto const count = members_.size() + seeds_.size();
-    auto const index = next_++ % count;
-    return index < members_.size() ? members_[index] : seeds_[index - members_.size()];
+    for (std::size_t tried = 0; tried < count; ++tried) {
+        auto const index = next_++ % count;
+        auto const& candidate = index < members_.size() ? members_[index] : seeds_[index - members_.size()];
+        if (!isTrying(candidate))
+            return candidate;
+    }
+    return std::nullopt;
 }
 
-void EntryLink::connectLater(Core::Duration delay)
+void EntryLink::seekLater(Core::Duration delay)
 {
     loop_.cancel(timer_);
     timer_ = loop_.after(delay, [this] {
         timer_ = {};
-        if (!seeds_.empty() || !members_.empty())
-            connect(nextCandidate());
+        seek();
     });
 }
 
+void EntryLink::seek()
+{
+    if (leader_)
+        return;
+    if (attempts_.size() < maxAttempts) {
+        if (auto const candidate = nextCandidate())
+            connect(*candidate);
+    }
+    seekLater(besideInterval);
+}
+
 void EntryLink::connect(Core::Endpoint const& endpoint)
 {
-    peer_ = endpoint;
-    hasAnswer_ = false;
     Net::FrameHandler& handler = *this;
-    channel_ = std::make_unique<Net::FrameChannel>(loop_, handler, endpoint);
-    timer_ = loop_.after(answerTimeout, [this] {
-        timer_ = {};
-        if (hasAnswer_ || !channel_)
-            return;
-        channel_->close();
-        onClosed(*channel_);
-    });
+    attempts_.push_back({ endpoint, std::make_unique<Net::FrameChannel>(loop_, handler, endpoint) });
 }
 
 void EntryLink::onOpen(Net::FrameChannel& channel)
@@ -79,50 +99,83 @@
 
 void EntryLink::onFrame(Net::FrameChannel& channel, std::string_view frame)
 {
-    hasAnswer_ = true;
     auto const payload = frame.substr(1);
     switch (static_cast<FrameType>(frame.front())) {
     case FrameType::View:
         if (auto const update = Fleet::decode<Fleet::ViewUpdate>(payload)) {
-            if (!std::exchange(hasView_, true))
-                events_.write(EventId::ViewLeaseRestored, { { "leader", peer_.toString() } });
-            handler_.onView(*update);
+            onView(channel, *update);
             return;
         }
-        events_.write(EventId::PeerUnreachable, { { "peer", peer_.toString() }, { "reason", "undecodable view" } });
+        events_.write(EventId::PeerUnreachable,
+            { { "peer", peerOf(channel).toString() }, { "reason", "undecodable view" } });
         channel.close();
         onClosed(channel);
         return;
     case FrameType::Leader:
         if (auto const hint = Fleet::decode<ControlHost::LeaderHint>(payload))
-            onHint(*hint);
+            onHint(channel, *hint);
         return;
     default:
         return;
     }
 }
 
-void EntryLink::onHint(ControlHost::LeaderHint const& hint)
+void EntryLink::onView(Net::FrameChannel& channel, Fleet::ViewUpdate const& update)
+{
+    if (leader_ != &channel) {
+        leader_ = &channel;
+        loop_.cancel(timer_);
+        events_.write(EventId::ViewLeaseRestored, { { "leader", peerOf(channel).toString() } });
+        std::vector<Net::FrameChannel*> others;
+        for (auto const& attempt : attempts_) {
+            if (attempt.channel.get() != &channel)
+                others.push_back(attempt.channel.get());
+        }
+        for (auto* const other : others)
+            drop(*other);
+    }
+    handler_.onView(update);
+}
+
+void EntryLink::onHint(Net::FrameChannel& channel, ControlHost::LeaderHint const& hint)
 {
     if (!hint.members.empty())
         members_ = hint.members;
-    if (hint.leader == peer_)
+    if (hint.leader == peerOf(channel))
         return;
-    hinted_ = hint.leader;
-    if (!channel_)
+    auto const wasLeader = leader_ == &channel;
+    drop(channel);
+    if (wasLeader)
+        events_.write(EventId::ViewLeaseLost, { { "reason", "the leader has changed" } });
+    if (leader_)
         return;
-    channel_->close();
-    onClosed(*channel_);
+    if (hint.leader && !isTrying(*hint.leader))
+        connect(*hint.leader);
+    seekLater(hint.leader ? besideInterval : askInterval);
 }
 
 void EntryLink::onClosed(Net::FrameChannel& channel)
 {
-    if (&channel != channel_.get())
+    auto const peer = peerOf(channel);
+    auto const wasLeader = leader_ == &channel;
+    drop(channel);
+    if (wasLeader)
+        events_.write(EventId::ViewLeaseLost, { { "leader", peer.toString() } });
+    if (!leader_)
+        seekLater(askInterval);
+}
+
+void EntryLink::drop(Net::FrameChannel& channel)
+{
+    auto const found
+        = std::ranges::find_if(attempts_, [&](auto const& attempt) { return attempt.channel.get() == &channel; });
+    if (found == attempts_.end())
         return;
-    if (std::exchange(hasView_, false))
-        events_.write(EventId::ViewLeaseLost, { { "leader", peer_.toString() } });
-    loop_.reclaim(std::move(channel_));
-    connectLater(hinted_ ? Core::Duration::zero() : askInterval);
+    if (leader_ == &channel)
+        leader_ = nullptr;
+    channel.close();
+    loop_.reclaim(std::move(found->channel));
+    attempts_.erase(found);
 }
 
 } // namespace Gateway
--- a/Tests/LibGateway/TestEntryLink.cpp
+++ b/Tests/LibGateway/TestEntryLink.cpp
@@ -82,3 +82,19 @@
     BOOST_TEST(leader.hellos.front().itemRevision == 5U);
     BOOST_TEST(receiver.revision == 7U);
 }
+
+BOOST_FIXTURE_TEST_CASE(AFrozenControlHostDoesNotHoldUpTheSearchForTheLeader, LinkFixture)
+{
+    // It takes connections and never answers. Meanwhile the leader, behind a full link, needs 900 ms for its answer.
+    Core::Endpoint const frozen { "127.0.0.1", freePort() };
+    std::vector<int> held;
+    auto const listener = Net::Listener::open(loop, frozen, [&](int fd) { held.push_back(fd); });
+    SlowLeader leader(loop, 900ms);
+    auto const began = Core::BootClock::now();
+    EntryLink link(loop, *events, receiver, "entry", { frozen, leader.address });
+    BOOST_TEST(runUntil(loop, [&] { return link.isConnected(); }, 4s));
+    BOOST_TEST((Core::BootClock::now() - began < 1500ms));
+    BOOST_TEST(leader.hellos.size() == 1U);
+    for (auto const fd : held)
+        ::close(fd);
+}
