--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -246,6 +246,7 @@
             onHint(*hint);
         return;
     case FrameType::View:
+    case FrameType::CompressedView:
         return;
     }
 }
@@ -377,7 +378,7 @@
         update_.quarantined = coordinator_->quarantined(now);
     if (update_.isEmpty())
         return;
-    auto const frame = makeFrame(FrameType::View, update_);
+    auto const frame = makeViewFrame(update_);
     update_ = {};
     wholeFrames_.clear();
     std::vector<Net::FrameChannel*> stuck;
@@ -402,7 +403,7 @@
         auto view = Fleet::wholeView(replica_.state(), *coordinator_, knownRevision, loop_.now());
         if (!sharing_.empty())
             view.entryHosts = sharing_;
-        frame = makeFrame(FrameType::View, view);
+        frame = makeViewFrame(view);
     }
     return frame;
 }
--- a/Libraries/LibControlHost/Frames.h
+++ b/Libraries/LibControlHost/Frames.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <LibFleet/View.h>
+#include <LibNet/Compression.h>
+#include <LibNet/FrameChannel.h>
 
 namespace ControlHost {
 
@@ -16,6 +18,8 @@
     Leader = 'L',
     /// `Fleet::ViewUpdate`
     View = 'V',
+    /// `Fleet::ViewUpdate`, compressed.
+    CompressedView = 'C',
     /// `Fleet::LoadReport`
     Report = 'P',
 };
@@ -52,4 +56,24 @@
     return makeFrame(type, std::string_view(Fleet::encode(value)));
 }
 
+/// Views that are shorter are not compressed: it would cost both sides more than the link.
+inline constexpr std::size_t minCompressedBytes = 1024;
+
+inline std::string makeViewFrame(Fleet::ViewUpdate const& update)
+{
+    auto const encoded = Fleet::encode(update);
+    if (encoded.size() < minCompressedBytes)
+        return makeFrame(FrameType::View, std::string_view(encoded));
+    return makeFrame(FrameType::CompressedView, std::string_view(Net::compress(encoded)));
+}
+
+/// Empty for a frame that holds no view.
+inline std::optional<Fleet::ViewUpdate> readView(FrameType type, std::string_view payload)
+{
+    if (type != FrameType::CompressedView)
+        return Fleet::decode<Fleet::ViewUpdate>(payload);
+    auto const encoded = Net::expand(payload, Net::FrameChannel::maxFrameBytes);
+    return encoded ? Fleet::decode<Fleet::ViewUpdate>(*encoded) : std::nullopt;
+}
+
 } // namespace ControlHost
--- a/Libraries/LibGateway/EntryLink.cpp
+++ b/Libraries/LibGateway/EntryLink.cpp
@@ -100,9 +100,11 @@
 void EntryLink::onFrame(Net::FrameChannel& channel, std::string_view frame)
 {
     auto const payload = frame.substr(1);
-    switch (static_cast<FrameType>(frame.front())) {
+    auto const type = static_cast<FrameType>(frame.front());
+    switch (type) {
     case FrameType::View:
-        if (auto const update = Fleet::decode<Fleet::ViewUpdate>(payload)) {
+    case FrameType::CompressedView:
+        if (auto const update = ControlHost::readView(type, payload)) {
             onView(channel, *update);
             return;
         }
--- a/Tests/LibGateway/TestEntryLink.cpp
+++ b/Tests/LibGateway/TestEntryLink.cpp
@@ -24,6 +24,7 @@
 
     Core::Endpoint const address { "127.0.0.1", freePort() };
     std::vector<ControlHost::Hello> hellos;
+    std::vector<Fleet::RouteRow> routes;
 
 private:
     void onFrame(Net::FrameChannel& channel, std::string_view frame) override
@@ -32,11 +33,12 @@
         BOOST_REQUIRE(hello.has_value());
         hellos.push_back(*hello);
         channel.send(makeFrame(ControlHost::FrameType::Leader, ControlHost::LeaderHint { address, { address } }));
-        loop_.after(delay_, [&channel] {
+        loop_.after(delay_, [this, &channel] {
             Fleet::ViewUpdate update;
             update.isWhole = true;
             update.itemRevision = 7;
-            channel.send(makeFrame(ControlHost::FrameType::View, update));
+            update.routes = routes;
+            channel.send(ControlHost::makeViewFrame(update));
         });
     }
     void onClosed(Net::FrameChannel& channel) override { channel.close(); }
@@ -49,10 +51,15 @@
 
 class ViewReceiver final : public EntryLinkHandler {
 public:
-    void onView(Fleet::ViewUpdate const& update) override { revision = update.itemRevision; }
+    void onView(Fleet::ViewUpdate const& update) override
+    {
+        revision = update.itemRevision;
+        routes = update.routes.size();
+    }
     std::uint64_t itemRevision() const override { return revision; }
 
     std::uint64_t revision { 0 };
+    std::size_t routes { 0 };
 };
 
 struct LinkFixture {
@@ -83,6 +90,19 @@
     BOOST_TEST(receiver.revision == 7U);
 }
 
+BOOST_FIXTURE_TEST_CASE(AViewOfManyRoutesArrivesCompressed, LinkFixture)
+{
+    SlowLeader leader(loop, 0s);
+    for (int i = 0; i < 1680; ++i)
+        leader.routes.push_back({ "route-" + std::to_string(i), { 3, std::nullopt } });
+    Fleet::ViewUpdate update;
+    update.routes = leader.routes;
+    BOOST_TEST(ControlHost::makeViewFrame(update).size() < Fleet::encode(update).size() / 2);
+    EntryLink link(loop, *events, receiver, "entry", { leader.address });
+    BOOST_TEST(runUntil(loop, [&] { return link.isConnected(); }, 3s));
+    BOOST_TEST(receiver.routes == leader.routes.size());
+}
+
 BOOST_FIXTURE_TEST_CASE(AFrozenControlHostDoesNotHoldUpTheSearchForTheLeader, LinkFixture)
 {
     // It takes connections and never answers. Meanwhile the leader, behind a full link, needs 900 ms for its answer.
