Admit at the entry hosts what the owner of a hot key can do

Cause: one key with 16 in 100 requests gets 372 a second on a server that does 10.

Change: the control leader compares the arrivals at each server with what it can do, and tells entry hosts what part of the requests of each hot range to admit (OverloadShares). Ranges with few requests are admitted whole. The others are refused at once with 0.5 to 1.5 s to come back, less urgent ones more often.

Tests: TestOverloadShares, EntryHostsAreToldWhatPartOfAHotKeyItsOwnerCanDo, AllEntryHostsTogetherSendAHotOwnerWhatItCanDo.

--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -252,8 +252,16 @@
     if (owner == state.published)
         return;
     state.published = owner;
+    // What a new owner can do with the range is not known yet.
+    state.admitted = 1;
+    rows_.push_back(makeRow(pool, range, state));
+}
+
+RangeRow Coordinator::makeRow(Core::PoolName const& pool, KeyRange const& range, RangeState const& state) const
+{
     auto const wait = state.isRevoked || !state.isGranted ? settings_.beatInterval : settings_.hold;
-    rows_.push_back({ pool, range.first, range.last, owner, Core::toMilliseconds(wait) });
+    auto const waitMs = state.published == 0 ? Core::toMilliseconds(wait) : 0;
+    return { pool, range.first, range.last, state.published, waitMs, state.admitted };
 }
 
 void Coordinator::onApplied(Core::TimePoint now, Command const& command, Applied const& applied)
@@ -281,7 +289,7 @@
         for (auto const& range : state_.keys(split.pool)) {
             // Entry hosts learn the new borders.
             if (range.first == split.before || range.last + 1 == split.before)
-                rows_.push_back({ split.pool, range.first, range.last, soft[range.first].published, 0 });
+                rows_.push_back(makeRow(split.pool, range, soft[range.first]));
         }
     }
     for (auto const& assignment : command.assignments) {
@@ -389,8 +397,11 @@
         updateLoads();
     }
     for (auto const& [name, pool] : state_.pools()) {
-        if (pool.item && pool.item->isKeyDivided)
-            balancePool(*pool.item, now);
+        if (!pool.item || !pool.item->isKeyDivided)
+            continue;
+        balancePool(*pool.item, now);
+        if (isDue)
+            limitOverload(*pool.item);
     }
 }
 
@@ -412,8 +423,8 @@
     for (auto const& [pool, states] : ranges_) {
         for (auto const& range : state_.keys(pool)) {
             auto const state = states.find(range.first);
-            auto const owner = state == states.end() ? 0 : state->second.published;
-            rows.push_back({ pool, range.first, range.last, owner, Core::toMilliseconds(settings_.beatInterval) });
+            if (state != states.end())
+                rows.push_back(makeRow(pool, range, state->second));
         }
     }
     return rows;
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibFleet/OverloadShares.h>
 #include <LibFleet/RangePlacement.h>
 #include <LibFleet/State.h>
 #include <LibPolicy/CrashLedger.h>
@@ -93,6 +94,8 @@
     ServerNumber owner { 0 };
     /// How long it takes about until an owner is there, if there is none.
     std::int64_t waitMs { 0 };
+    /// The part of the requests that the owner can do. The others are refused at once.
+    double admitted { 1 };
 };
 
 /// The decisions of the control leader over backend servers and the keys that they own. Made anew for each term of
@@ -152,6 +155,8 @@
         Core::TimePoint targetSince;
         double load { 0 };
         ServerNumber published { 0 };
+        /// As entry hosts were told.
+        double admitted { 1 };
     };
     using RangeStates = std::map<std::uint32_t, RangeState>;
     struct Suspicion {
@@ -198,6 +203,10 @@
     void planServer(PoolItem const&, ServerNumber, Core::TimePoint now);
     void layOut(PoolItem const&, Core::TimePoint now);
     void balancePool(PoolItem const&, Core::TimePoint now);
+    /// Tells entry hosts what part of the requests on the ranges of overloaded servers to admit.
+    void limitOverload(PoolItem const&);
+    double capacityOf(ServerRecord const&, double poolServiceSeconds) const;
+    RangeRow makeRow(Core::PoolName const&, KeyRange const&, RangeState const&) const;
     void settleReleases(ServerRecord const&, Heartbeat const&);
     Grant makeGrant(ServerRecord const&, Heartbeat const&, Core::TimePoint now);
     void propose(Core::PoolName const&, KeyRange const&, RangeState&, ServerNumber to, std::string handover);
--- a/Libraries/LibFleet/CoordinatorPlan.cpp
+++ b/Libraries/LibFleet/CoordinatorPlan.cpp
@@ -1,6 +1,7 @@
 #include <LibFleet/Coordinator.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Fleet {
 
@@ -20,12 +21,15 @@
     constexpr double baseLoad = 0.02;
     /// A key whose load has fallen below this is forgotten.
     constexpr double negligibleLoad = 0.02;
+    constexpr double millisecondsPerSecond = 1000;
     /// Of a request, until any was measured.
     constexpr double assumedServiceSeconds = 0.1;
     /// Parts that a hot range is cut into at once.
     constexpr std::size_t splitParts = 8;
     /// A range is hot if it alone takes this part of what its owner bears.
     constexpr double hotPart = 0.3;
+    /// Entry hosts are told a new admitted part if it differs by this part of the old one.
+    constexpr double admittedStep = 0.2;
     /// Bounds of the measured speed of a server relative to its pool.
     constexpr double minSpeed = 0.4;
     constexpr double maxSpeed = 2.0;
@@ -54,9 +58,18 @@
     return now - lastBeat <= settings_.beatInterval * maxMissedBeats;
 }
 
+/// Requests of the pool's mean service time that a server can run at once.
+double Coordinator::capacityOf(ServerRecord const& server, double poolServiceSeconds) const
+{
+    auto const found = servers_.find(server.number);
+    if (found == servers_.end() || found->second.meanMs == 0)
+        return server.slots;
+    auto const speed = poolServiceSeconds * millisecondsPerSecond / found->second.meanMs;
+    return server.slots * std::clamp(speed, minSpeed, maxSpeed);
+}
+
 double Coordinator::meanServiceSeconds(Core::PoolName const& pool) const
 {
-    constexpr double millisecondsPerSecond = 1000;
     double sum = 0;
     std::size_t count = 0;
     for (auto const& [number, server] : state_.servers()) {
@@ -74,27 +87,15 @@
 {
     std::vector<PlacementServer> warm;
     std::vector<PlacementServer> cold;
-    double sumMs = 0;
-    std::size_t measured = 0;
+    auto const service = meanServiceSeconds(pool);
     for (auto const& [number, server] : state_.servers()) {
         if (server.pool != pool || !mayOwn(server, now))
             continue;
         auto& list = isCold(number, now) ? cold : warm;
-        list.push_back({ number, static_cast<double>(server.slots) });
+        list.push_back({ number, capacityOf(server, service) });
         list.back().delay = std::chrono::duration<double>(nextBeat(number, from) - now) / settings_.beatInterval;
-        auto const found = servers_.find(number);
-        if (found != servers_.end() && found->second.meanMs > 0) {
-            sumMs += found->second.meanMs;
-            ++measured;
-        }
     }
     auto& servers = warm.empty() ? cold : warm;
-    for (auto& server : servers) {
-        auto const found = servers_.find(server.number);
-        if (measured > 0 && found != servers_.end() && found->second.meanMs > 0)
-            server.capacity
-                *= std::clamp(sumMs / static_cast<double>(measured) / found->second.meanMs, minSpeed, maxSpeed);
-    }
     auto const soft = ranges_.find(pool);
     if (soft == ranges_.end())
         return std::move(servers);
@@ -275,4 +276,35 @@
     }
 }
 
+void Coordinator::limitOverload(PoolItem const& pool)
+{
+    struct OwnedRange {
+        KeyRange const* range;
+        RangeState* state;
+    };
+    std::unordered_map<ServerNumber, std::vector<OwnedRange>> owned;
+    forEachRange(pool.name, [&](KeyRange const& range, RangeState& state) {
+        if (state.published != 0)
+            owned[state.published].push_back({ &range, &state });
+    });
+    auto const service = meanServiceSeconds(pool.name);
+    for (auto const& [number, ranges] : owned) {
+        auto const* const server = state_.findServer(number);
+        if (!server)
+            continue;
+        std::vector<double> loads;
+        std::ranges::transform(
+            ranges, std::back_inserter(loads), [](auto const& entry) { return entry.state->load; });
+        auto const parts = OverloadShares::admittedParts(loads, capacityOf(*server, service) / service);
+        for (std::size_t i = 0; i < ranges.size(); ++i) {
+            auto& told = ranges[i].state->admitted;
+            auto const isBack = parts[i] == 1 && told != 1;
+            if (!isBack && std::abs(parts[i] - told) <= admittedStep * told)
+                continue;
+            told = parts[i];
+            rows_.push_back(makeRow(pool.name, *ranges[i].range, *ranges[i].state));
+        }
+    }
+}
+
 } // namespace Fleet
--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -1,6 +1,7 @@
 #include <LibFleet/View.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Fleet {
 
@@ -38,6 +39,9 @@
         }
     }
 
+    constexpr double thousand = 1000;
+    /// Numbers for each row in the encoding of ranges.
+    constexpr std::size_t rangeFields = 5;
     /// Length of the encoding of an item that was dropped: its name and version.
     constexpr std::size_t droppedFields = 2;
 
@@ -135,7 +139,8 @@
     for (auto const& row : ranges.rows) {
         auto& list = lists[row.pool.value];
         auto& expected = next[row.pool.value];
-        list.insert(list.end(), { row.first - expected, row.last - row.first + 1, row.owner, row.waitMs });
+        auto const refused = std::llround((1 - row.admitted) * thousand);
+        list.insert(list.end(), { row.first - expected, row.last - row.first + 1, row.owner, row.waitMs, refused });
         expected = row.last + 1;
     }
     out = std::move(lists);
@@ -146,11 +151,12 @@
     ranges.rows.clear();
     for (auto const& [pool, list] : in.items()) {
         std::int64_t next = 0;
-        for (std::size_t i = 0; i + 3 < list.size(); i += 4) {
+        for (std::size_t i = 0; i + rangeFields <= list.size(); i += rangeFields) {
             auto const first = next + list[i].get<std::int64_t>();
             next = first + list[i + 1].get<std::int64_t>();
             ranges.rows.push_back({ { pool }, static_cast<std::uint32_t>(first), static_cast<std::uint32_t>(next - 1),
-                list[i + 2].get<ServerNumber>(), list[i + 3].get<std::int64_t>() });
+                list[i + 2].get<ServerNumber>(), list[i + 3].get<std::int64_t>(),
+                1 - list[i + 4].get<double>() / thousand });
         }
     }
 }
@@ -305,7 +311,8 @@
     for (auto const number : update.removedServers)
         servers_.erase(number);
     for (auto const& row : update.ranges.rows)
-        ranges_[row.pool][row.first] = { row.last, { row.owner, now + std::chrono::milliseconds(row.waitMs) } };
+        ranges_[row.pool][row.first] = { row.last,
+            { row.owner, now + std::chrono::milliseconds(row.waitMs), row.admitted } };
     if (update.quarantined)
         quarantined_ = { update.quarantined->begin(), update.quarantined->end() };
     if (update.entryHosts)
--- a/Libraries/LibFleet/View.h
+++ b/Libraries/LibFleet/View.h
@@ -20,7 +20,7 @@
 void from_json(nlohmann::json const&, ServerRow&);
 
 /// Rows of any pools. Encoded as one flat list of numbers for each pool: keys skipped since the last row, keys of the
-/// row, owner, wait.
+/// row, owner, wait, refused requests of a thousand.
 struct RangeRows {
     std::vector<RangeRow> rows;
 };
@@ -83,6 +83,8 @@
     ServerNumber server { 0 };
     /// When an owner is expected, if there is none.
     Core::TimePoint expectedAt;
+    /// The part of the requests that it can do.
+    double admitted { 1 };
 };
 
 /// The routing state of an entry host. Versions of items never go back.
--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/Admission.h>
 
 #include <algorithm>
+#include <array>
 
 namespace Gateway {
 
@@ -15,6 +16,13 @@
     constexpr Core::Duration minRetryAfter = std::chrono::milliseconds(60);
     constexpr Core::Duration maxRetryAfter = std::chrono::seconds(2);
 
+    /// Odds of requests of each priority on an overloaded range, the most urgent first, relative to the admitted part.
+    constexpr std::array<double, 4> priorityOdds { 1.6, 1.3, 0.9, 0.7 };
+    static_assert(priorityOdds.size() == maxPriorityStep + 1);
+    /// Mean time until a refused caller of an overloaded range comes back. A hot range is split and moved within one to
+    /// three heartbeats of a second or so.
+    constexpr Core::Duration overloadReturn = std::chrono::milliseconds(1000);
+
     std::int32_t priorityStep(std::int32_t priority) { return std::clamp(priority, 0, maxPriorityStep); }
 
     /// How long the wait and the work may take together if the request has to wait.
@@ -26,6 +34,18 @@
 
 } // namespace
 
+bool Admission::isAdmitted(double admittedPart, std::int32_t priority, double lot)
+{
+    if (admittedPart >= 1)
+        return true;
+    return lot < admittedPart * priorityOdds.at(static_cast<std::size_t>(priorityStep(priority)));
+}
+
+Core::Duration Admission::overloadRetryAfter(double lot)
+{
+    return std::chrono::duration_cast<Core::Duration>(overloadReturn * (0.5 + lot));
+}
+
 Core::Duration Admission::retryAfter(Core::Duration expectedWait, Core::Duration serviceTime, double lot)
 {
     auto const base = expectedWait + serviceTime / 2;
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -35,6 +35,12 @@
     /// Empty if the request may be sent.
     static std::optional<Refusal> check(AdmissionQuery const&, ServerLoad const&, Core::TimePoint now);
 
+    /// Whether a request on a range of an overloaded server is among those that the server can do. Less urgent ones are
+    /// refused more often. `lot` is uniform in [0, 1).
+    static bool isAdmitted(double admittedPart, std::int32_t priority, double lot);
+    /// When the caller of one that is not should come back: hot ranges are spread over other servers meanwhile.
+    static Core::Duration overloadRetryAfter(double lot);
+
     /// When a caller should come back to a server that has this much work ahead.
     static Core::Duration retryAfter(Core::Duration expectedWait, Core::Duration serviceTime, double lot);
 };
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -150,6 +150,11 @@
         fail(statusBadGateway, "attempts-used");
         return;
     }
+    // One lot for each request: what was admitted once is not drawn again.
+    if (sends_ == 0 && !Admission::isAdmitted(owner->admitted, priority_, gateway_.random_.unit())) {
+        refuse("owner-overloaded", Admission::overloadRetryAfter(gateway_.random_.unit()));
+        return;
+    }
     auto const& load = gateway_.loadOf(server->record);
     if (load.isUnreachable(gateway_.loop_.now())) {
         refuse("owner-unreachable", load.avoidUntil() - gateway_.loop_.now());
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -397,6 +397,37 @@
         boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(EntryHostsAreToldWhatPartOfAHotKeyItsOwnerCanDo)
+{
+    // For 4 s one key gets 200 requests a second, which no server can do; then the load is gone.
+    constexpr std::uint32_t hotKey = 4242;
+    constexpr std::uint32_t arrivals = 100;
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    auto const admittedPart = [&](std::uint32_t key) {
+        auto const rows = leader.coordinator().allRows();
+        return std::ranges::find_if(rows, [&](auto const& row) { return row.first <= key && key <= row.last; })->admitted;
+    };
+    BOOST_TEST(admittedPart(hotKey) == 1.0);
+    for (int i = 0; i < 8; ++i) {
+        LoadReport report;
+        report.arrivals.push_back({ lettersPool, { { hotKey, arrivals }, { hotKey + 20'000, 1 } } });
+        leader.coordinator().onReport(leader.now(), report);
+        leader.advance(500ms);
+        beat(leader, a);
+        beat(leader, b);
+    }
+    // Four slots at the 100 ms that are assumed before any answer do 40 requests a second of 200. Entry hosts are told
+    // between that and twice as much, in steps of a fifth.
+    BOOST_TEST(admittedPart(hotKey) > 0.2 * 0.8);
+    BOOST_TEST(admittedPart(hotKey) < 0.4 * 1.2);
+    BOOST_TEST(admittedPart(hotKey + 20'000) == 1.0);
+    run(leader, { &a, &b }, 6);
+    BOOST_TEST(admittedPart(hotKey) == 1.0);
+}
+
 BOOST_AUTO_TEST_CASE(HeartbeatsOfManyLeavingServersLeaveTheLeaderTimeForItsGroup)
 {
     // A seventh of 396 servers leave together and send a heartbeat each 100 ms until they have given up their keys. The
--- a/Tests/LibFleet/TestView.cpp
+++ b/Tests/LibFleet/TestView.cpp
@@ -98,9 +98,11 @@
     ViewUpdate update = routeUpdate(makeRoute("route", 3));
     update.limits = LimitsItem { 2, 100, 200, 300, 400, "{}" };
     update.ranges.rows.push_back({ lettersPool, 5, 9, 3, 100 });
+    update.ranges.rows.push_back({ lettersPool, 10, 10, 4, 0, 0.25 });
     auto const decoded = decode<ViewUpdate>(encode(update));
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST(encode(*decoded) == encode(update));
+    BOOST_TEST(decoded->ranges.rows.back().admitted == 0.25);
     BOOST_TEST(!decode<ViewUpdate>("damaged").has_value());
 }
 
--- a/Tests/LibGateway/TestPolicies.cpp
+++ b/Tests/LibGateway/TestPolicies.cpp
@@ -95,6 +95,29 @@
     BOOST_TEST(patient >= 4);
 }
 
+BOOST_AUTO_TEST_CASE(AllEntryHostsTogetherSendAHotOwnerWhatItCanDo)
+{
+    // 83 entry hosts, 372 requests a second for one key, an owner that does ten a second; two of three are less urgent.
+    constexpr int seconds = 20;
+    constexpr int perSecond = 372;
+    constexpr double capacity = 10;
+    Core::Random random(3);
+    std::map<std::int32_t, int> admitted;
+    std::map<std::int32_t, int> asked;
+    for (int i = 0; i < seconds * perSecond; ++i) {
+        auto const priority = i % 3 == 0 ? 1 : 2;
+        ++asked[priority];
+        admitted[priority] += Admission::isAdmitted(capacity / perSecond, priority, random.unit()) ? 1 : 0;
+    }
+    auto const total = admitted[1] + admitted[2];
+    BOOST_TEST(total < 1.3 * capacity * seconds);
+    BOOST_TEST(total > 0.7 * capacity * seconds);
+    // The more urgent are served more often, and the others are not starved.
+    BOOST_TEST(admitted[1] * asked[2] > admitted[2] * asked[1]);
+    BOOST_TEST(admitted[2] > 0);
+    BOOST_TEST(Admission::isAdmitted(1, 3, 0.999));
+}
+
 BOOST_AUTO_TEST_CASE(ReturnsOfRefusedCallersAreSpread)
 {
     auto const soonest = Admission::retryAfter(400ms, 100ms, 0.0);
