Find overloaded servers slow, by the queue that they report

Cause: the service time of a server was taken only from answers that had not waited. A slow server (1.6 times the work time, a third of the pool) is overloaded with an even part of the keys, so nearly all of its answers have waited: it counted as average and kept its keys. Where there were answers, each report counted 0.3 however few answers it had, an error of two fifths.

Change: the time of every answer is divided by the queue that the server reports with it; a server's mean is over its last 30 answers, beginning with the pool's mean; a round of balancing moves up to an eighth of a range for each server.

Tests: AnOverloadedServerIsFoundSlow (replay of a queue), AServerFoundSlowGetsFewerOfTheRequests.

--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -11,7 +11,11 @@
     constexpr Core::Duration leaseMargin = std::chrono::milliseconds(150);
     /// A server without any heartbeat for this long is forgotten.
     constexpr Core::Duration forgetAfter = std::chrono::seconds(25);
-    constexpr double latencySmoothing = 0.3;
+    /// Answers over which the service time of a server is averaged. Work varies by its own mean, so that 30 answers give
+    /// an error of a fifth; a server of two slots has them in some five seconds.
+    constexpr double averagedAnswers = 30;
+    /// Answers that the mean of the pool counts for until a server's own are there.
+    constexpr double assumedAnswers = 8;
     /// A new owner is worth waiting a heartbeat for if it is told within this time after the old one.
     constexpr Core::Duration goodHandover = std::chrono::milliseconds(500);
     /// Entry hosts stop sending to a draining owner after this time.
@@ -359,9 +363,18 @@
     for (auto const& latency : report.latencies) {
         if (latency.answers == 0)
             continue;
-        auto& mean = servers_[latency.server].meanMs;
-        auto const sample = latency.sumMs / latency.answers;
-        mean = mean == 0 ? sample : mean + latencySmoothing * (sample - mean);
+        auto const* const known = state_.findServer(latency.server);
+        if (!known)
+            continue;
+        auto& server = servers_[latency.server];
+        if (server.answers == 0) {
+            server.meanMs = meanServiceSeconds(known->pool) * millisecondsPerSecond;
+            server.answers = assumedAnswers;
+        }
+        auto const sum = server.meanMs * server.answers + latency.sumMs;
+        server.answers += latency.answers;
+        server.meanMs = sum / server.answers;
+        server.answers = std::min(server.answers, averagedAnswers);
     }
     for (auto const& suspicion : report.suspicions)
         suspicions_[suspicion.server].push_back({ suspicion.fingerprint, now });
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -59,7 +59,7 @@
     };
     struct Latency {
         ServerNumber server { 0 };
-        /// Answers that were not queued at the server, and the sum of their times in milliseconds.
+        /// Answers, and the sum of their service times in milliseconds, without the wait at the server.
         std::uint32_t answers { 0 };
         double sumMs { 0 };
     };
@@ -134,8 +134,10 @@
         std::uint64_t lastSequence { 0 };
         Core::TimePoint lastBeat;
         Core::TimePoint coldUntil;
-        /// Mean time of an unqueued answer in milliseconds; zero before the first report.
+        /// Mean service time of an answer in milliseconds; zero before the first report.
         double meanMs { 0 };
+        /// Answers that it is made of, the newest ones.
+        double answers { 0 };
         bool hasBeat { false };
         /// Refusals since the server was last heard of in any way, and when the first of them was reported.
         std::uint32_t refusals { 0 };
@@ -216,6 +218,7 @@
 
     /// Of loads and of the search for better owners; the reports of entry hosts come as often.
     static constexpr Core::Duration balanceInterval = std::chrono::milliseconds(500);
+    static constexpr double millisecondsPerSecond = 1000;
     /// From the answer that takes a range away until its release is committed: the work that is under way, the next
     /// heartbeat within 100 ms, and a write to the disks.
     static constexpr Core::Duration releaseTime = std::chrono::milliseconds(200);
--- a/Libraries/LibFleet/CoordinatorPlan.cpp
+++ b/Libraries/LibFleet/CoordinatorPlan.cpp
@@ -21,7 +21,6 @@
     constexpr double baseLoad = 0.02;
     /// A key whose load has fallen below this is forgotten.
     constexpr double negligibleLoad = 0.02;
-    constexpr double millisecondsPerSecond = 1000;
     /// Of a request, until any was measured.
     constexpr double assumedServiceSeconds = 0.1;
     /// Parts that a hot range is cut into at once.
--- a/Libraries/LibFleet/RangePlacement.cpp
+++ b/Libraries/LibFleet/RangePlacement.cpp
@@ -27,8 +27,10 @@
     constexpr double delayBase = 0.5;
     /// A move must leave the receiver below this multiple of the mean.
     constexpr double receiverLimit = 1.05;
-    /// Moves of one round. A moving range is not served for about a heartbeat interval.
-    constexpr std::size_t maxMovesPerRound = 24;
+    /// Moves of one round. A moving range is not served for about half a heartbeat interval; in a large pool this many
+    /// for each server keep two ranges of a hundred on the move, and even out three speeds of servers in some five seconds.
+    constexpr std::size_t minMovesPerRound = 24;
+    constexpr double movesPerServer = 0.125;
 
     bool mayReceive(PlacementServer const& server) { return server.ranges < RangePlacement::maxRangesPerServer; }
 
@@ -75,8 +77,10 @@
         if (server.utilization() < mean * idlenessLimit)
             idle.insert(server.number);
     }
+    auto const maxMoves
+        = std::max(minMovesPerRound, static_cast<std::size_t>(movesPerServer * static_cast<double>(servers.size())));
     std::ranges::sort(movable, std::greater {}, &PlacementRange::load);
-    while (moves.size() < maxMovesPerRound && servers.size() > 1) {
+    while (moves.size() < maxMoves && servers.size() > 1) {
         auto const giver = std::ranges::max_element(servers, {}, &PlacementServer::utilization);
         auto const receiver = std::ranges::min_element(servers, {}, [](auto const& server) {
             return mayReceive(server) ? server.utilization() : std::numeric_limits<double>::infinity();
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -284,10 +284,10 @@
         gateway_.countAnswer(server_);
         if (terms.load)
             load.onReport(*terms.load, gateway_.loop_.now());
-        auto const hasQueued = !wasIdleAtSend_ || (terms.load && terms.load->waiting > 0);
-        if (!terms.isNotRun && !hasQueued) {
-            load.onServiceTime(elapsed);
-            gateway_.countLatency(server_, elapsed);
+        auto const serviceTime = ServerLoad::serviceTimeOf(elapsed, wasIdleAtSend_, terms.load);
+        if (!terms.isNotRun && serviceTime) {
+            load.onServiceTime(*serviceTime);
+            gateway_.countLatency(server_, *serviceTime);
         }
     }
     if (terms.isNotRun || isMisdirected) {
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -28,6 +28,16 @@
     reportedAt_ = now;
 }
 
+std::optional<Core::Duration> ServerLoad::serviceTimeOf(
+    Core::Duration elapsed, bool wasIdleAtSend, std::optional<ServerLoadReport> const& report)
+{
+    if (!report)
+        return wasIdleAtSend ? std::optional(elapsed) : std::nullopt;
+    // In a steady queue as many requests were ahead of this one as wait now.
+    auto const ahead = static_cast<double>(report->waiting) / std::max(report->slots, 1U);
+    return std::chrono::duration_cast<Core::Duration>(elapsed / (1 + ahead));
+}
+
 void ServerLoad::onServiceTime(Core::Duration time)
 {
     auto const difference = static_cast<double>((time - serviceTime_).count()) * serviceTimeSmoothing;
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -1,5 +1,7 @@
 #include "Builders.h"
 
+#include <LibCore/Random.h>
+
 #include <ctime>
 
 #include <boost/test/unit_test.hpp>
@@ -397,6 +399,34 @@
         boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(AServerFoundSlowGetsFewerOfTheRequests)
+{
+    // Three servers with the same keys at first; one of them takes twice as long. Answers vary by their own mean.
+    constexpr std::uint32_t requestsPerReport = 60;
+    Leader leader;
+    std::vector<Server> servers;
+    for (int i = 1; i <= 3; ++i)
+        servers.emplace_back(makeServer(i));
+    std::vector<Server*> const all { &servers[0], &servers[1], &servers[2] };
+    run(leader, all, 4);
+    Core::Random random(5);
+    for (int i = 0; i < 40; ++i) {
+        LoadReport report;
+        report.arrivals.push_back({ lettersPool, {} });
+        for (std::uint32_t request = 0; request < requestsPerReport; ++request)
+            report.arrivals.back().keys.emplace_back(static_cast<std::uint32_t>(random.below(keyCount)), 1);
+        for (ServerNumber number = 1; number <= 3; ++number)
+            report.latencies.push_back({ number, 4, 4 * (number == 1 ? 160.0 : 80.0) * (0.5 + random.unit()) });
+        leader.coordinator().onReport(leader.now(), report);
+        leader.advance(500ms);
+        for (auto* const server : all)
+            beat(leader, *server);
+    }
+    BOOST_TEST(heldKeyCount(servers[0]) < 0.8 * heldKeyCount(servers[1]));
+    BOOST_TEST(heldKeyCount(servers[0]) < 0.8 * heldKeyCount(servers[2]));
+    BOOST_TEST(heldKeyCount(servers[0]) > keyCount / 10);
+}
+
 BOOST_AUTO_TEST_CASE(EntryHostsAreToldWhatPartOfAHotKeyItsOwnerCanDo)
 {
     // For 4 s one key gets 200 requests a second, which no server can do; then the load is gone.
--- a/Tests/LibGateway/TestPolicies.cpp
+++ b/Tests/LibGateway/TestPolicies.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <map>
 
 using namespace Gateway;
@@ -134,6 +135,47 @@
     BOOST_TEST(server.occupancy(start + 2s) < 1);
 }
 
+BOOST_AUTO_TEST_CASE(AnOverloadedServerIsFoundSlow)
+{
+    // Two slots, a queue of eight, work of 300 ms on the average, and a fifth more requests than it can do: nearly every
+    // answer has waited. Time in steps of a millisecond.
+    constexpr double workMs = 300;
+    constexpr std::size_t slots = 2;
+    constexpr std::size_t places = 8;
+    constexpr double arrivalsPerMs = 1.2 * slots / workMs;
+    struct Job {
+        int arrivedAt;
+        int endsAt;
+    };
+    Core::Random random(11);
+    std::vector<Job> running;
+    std::vector<int> waiting;
+    double sum = 0;
+    int answers = 0;
+    auto const draw = [&] { return static_cast<int>(-std::log(1 - random.unit()) * workMs); };
+    for (int now = 0; now < 200'000; ++now) {
+        if (random.unit() < arrivalsPerMs && waiting.size() < places)
+            waiting.push_back(now);
+        for (auto const& job : running) {
+            if (job.endsAt > now)
+                continue;
+            ServerLoadReport const report { slots, static_cast<std::uint32_t>(waiting.size()), slots, 1 };
+            sum += Core::toMilliseconds(
+                *ServerLoad::serviceTimeOf(std::chrono::milliseconds(now - job.arrivedAt), false, report));
+            ++answers;
+        }
+        std::erase_if(running, [&](auto const& job) { return job.endsAt <= now; });
+        while (running.size() < slots && !waiting.empty()) {
+            running.push_back({ waiting.front(), now + draw() });
+            waiting.erase(waiting.begin());
+        }
+    }
+    BOOST_TEST(sum / answers > 0.75 * workMs);
+    BOOST_TEST(sum / answers < 1.35 * workMs);
+    BOOST_TEST(!ServerLoad::serviceTimeOf(1s, false, std::nullopt).has_value());
+    BOOST_TEST((*ServerLoad::serviceTimeOf(1s, true, std::nullopt) == 1s));
+}
+
 BOOST_AUTO_TEST_CASE(AnUnreachableServerIsLeftAloneForLongerEachTime)
 {
     ServerLoad server(4);
