Hand large bodies over in pieces, at most as fast as the link takes them

Cause: small requests and answers waited behind whole uploads on the links of the entry hosts: 60 KB take 90 ms of 5.3 Mbit/s, and each upload was handed to the kernel at once.

A connection whose body was not sent to its end is not used again.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -23,7 +23,7 @@
     , codec_(codec)
     , settings_(settings)
     , random_(Core::Random::fromSystemEntropy())
-    , links_(loop, codec)
+    , links_(loop, codec, settings.linkBytesPerSecond)
 {
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -22,6 +22,8 @@
     double coldFactor { 1.5 };
     double coldSlack { 5 };
     Core::FailureDomain failureDomain;
+    /// What the link of this host takes in each direction; zero if it is large enough not to matter.
+    double linkBytesPerSecond { 0 };
 };
 
 /// The request path of one entry host. Used on the loop's thread.
--- a/Libraries/LibGateway/ServerLinks.cpp
+++ b/Libraries/LibGateway/ServerLinks.cpp
@@ -18,9 +18,10 @@
     /// between failure domains.
     constexpr Core::Duration settleTime = std::chrono::milliseconds(3);
 
-    Net::HttpClientSettings linkSettings()
+    Net::HttpClientSettings linkSettings(Net::BulkPacer& pacer)
     {
         Net::HttpClientSettings settings;
+        settings.pacer = &pacer;
         // A connection to a host in the same region takes a few milliseconds; one lost packet costs a second.
         settings.stream.silenceTimeout = std::chrono::milliseconds(1500);
         settings.settleTime = settleTime;
@@ -32,11 +33,12 @@
 /// One connection to a backend server.
 class ServerLink final : private Net::HttpClientHandler, public Net::Reclaimable {
 public:
-    ServerLink(Net::EventLoop& loop, ServerLinks& links, RequestCodec const& codec, Fleet::ServerRecord const& server)
+    ServerLink(Net::EventLoop& loop, ServerLinks& links, RequestCodec const& codec, Net::BulkPacer& pacer,
+        Fleet::ServerRecord const& server)
         : links_(links)
         , codec_(codec)
         , number_(server.number)
-        , client_(loop, *this, server.address, linkSettings())
+        , client_(loop, *this, server.address, linkSettings(pacer))
     {
     }
 
@@ -89,9 +91,10 @@
     Net::HttpClient client_;
 };
 
-ServerLinks::ServerLinks(Net::EventLoop& loop, RequestCodec const& codec)
+ServerLinks::ServerLinks(Net::EventLoop& loop, RequestCodec const& codec, double linkBytesPerSecond)
     : loop_(loop)
     , codec_(codec)
+    , pacer_(linkBytesPerSecond)
 {
     dropExpired();
 }
@@ -118,7 +121,7 @@
             loop_.reclaim(std::move(server.idle.front()));
             server.idle.erase(server.idle.begin());
         }
-        link = std::make_unique<ServerLink>(loop_, *this, codec_, record);
+        link = std::make_unique<ServerLink>(loop_, *this, codec_, pacer_, record);
     }
     server.busy.push_back(std::move(link));
     auto* const started = server.busy.back().get();
--- a/Libraries/LibGateway/ServerLinks.h
+++ b/Libraries/LibGateway/ServerLinks.h
@@ -28,7 +28,8 @@
 /// The connections to all backend servers. A server takes one request at a time on each.
 class ServerLinks {
 public:
-    ServerLinks(Net::EventLoop&, RequestCodec const&);
+    /// `linkBytesPerSecond` is what this host's link takes; zero if that does not matter.
+    ServerLinks(Net::EventLoop&, RequestCodec const&, double linkBytesPerSecond);
     ~ServerLinks();
     ServerLinks(ServerLinks const&) = delete;
     ServerLinks& operator=(ServerLinks const&) = delete;
@@ -53,6 +54,7 @@
 
     Net::EventLoop& loop_;
     RequestCodec const& codec_;
+    Net::BulkPacer pacer_;
     std::map<Fleet::ServerNumber, Server> servers_;
     Net::EventLoop::TimerId timer_;
 };
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -57,19 +57,35 @@
 {
 }
 
-HttpClient::~HttpClient() { loop_.cancel(settleTimer_); }
+HttpClient::~HttpClient() { loop_.cancel(sendTimer_); }
 
 void HttpClient::onConnected(Stream&)
 {
-    settleTimer_ = loop_.after(settings_.settleTime, [this] { settle(); });
+    sendTimer_ = loop_.after(settings_.settleTime, [this] { settle(); });
 }
 
 void HttpClient::settle()
 {
-    settleTimer_ = {};
     isSettled_ = true;
-    stream_.write(unsent_);
+    sendMore();
+}
+
+void HttpClient::sendMore()
+{
+    sendTimer_ = {};
+    auto const isPaced = settings_.pacer && unsent_.size() >= BulkPacer::minBulkBytes;
+    while (stream_.isOpen() && unsentBegin_ < unsent_.size()) {
+        auto const rest = std::string_view(unsent_).substr(unsentBegin_);
+        auto const count = isPaced ? settings_.pacer->take(loop_.now(), rest.size()) : rest.size();
+        if (count == 0) {
+            sendTimer_ = loop_.after(settings_.pacer->nextAt() - loop_.now(), [this] { sendMore(); });
+            return;
+        }
+        unsentBegin_ += count;
+        stream_.write(rest.substr(0, count));
+    }
     unsent_ = {};
+    unsentBegin_ = 0;
 }
 
 void HttpClient::send(std::string_view bytes, bool expectsNoBody)
@@ -80,10 +96,10 @@
     reader_ = std::nullopt;
     hasHead_ = false;
     body_.clear();
+    unsent_ = bytes;
+    unsentBegin_ = 0;
     if (isSettled_)
-        stream_.write(bytes);
-    else
-        unsent_ = bytes;
+        sendMore();
 }
 
 void HttpClient::onData(Stream&)
@@ -159,8 +175,10 @@
         isReusable_ = false;
         return;
     }
-    if (!answer.head.keepsAlive || !stream_.input().isEmpty())
+    // After an answer that came before the end of a body, nothing else may be sent where the rest is due.
+    if (!answer.head.keepsAlive || !stream_.input().isEmpty() || !unsent_.empty())
         isReusable_ = false;
+    loop_.cancel(sendTimer_);
     isBusy_ = false;
     lastUsed_ = loop_.now();
     stream_.input().releaseMemory();
@@ -177,7 +195,7 @@
 {
     isReusable_ = false;
     isBusy_ = false;
-    loop_.cancel(settleTimer_);
+    loop_.cancel(sendTimer_);
     stream_.close();
     handler_.onFailure(*this, failure);
 }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibNet/BulkPacer.h>
 #include <LibNet/Stream.h>
 #include <LibProxy/HttpMessage.h>
 
@@ -51,6 +52,8 @@
     /// How long a new connection must have lasted before a request is sent on it. A server that has too many connections
     /// resets a new one at once; whatever was sent by then has an unknown outcome.
     Core::Duration settleTime {};
+    /// Shared by all connections over the same link. Null if large bodies are not held up.
+    BulkPacer* pacer { nullptr };
 };
 
 /// A connection to a server for one request at a time.
@@ -73,6 +76,8 @@
     void onData(Stream&) override;
     void onEnd(Stream&, StreamEnd) override;
     void settle();
+    /// Hands over as much of the request as the pacer allows, and goes on later with the rest.
+    void sendMore();
     bool readAnswer();
     void finishAnswer();
     void fail(ExchangeFailure);
@@ -85,7 +90,9 @@
     /// The request waits until the connection has lasted for the settle time.
     bool isSettled_ { false };
     std::string unsent_;
-    EventLoop::TimerId settleTimer_;
+    std::size_t unsentBegin_ { 0 };
+    /// For the settle time, and for the next piece of a large body.
+    EventLoop::TimerId sendTimer_;
     bool isBusy_ { false };
     bool isReusable_ { true };
     bool expectsNoBody_ { false };
--- a/Tests/Platform/TestWire.cpp
+++ b/Tests/Platform/TestWire.cpp
@@ -20,6 +20,7 @@
 first-start = true
 data-directory =
 heartbeat-interval-s = 0.87
+link-mbps = 5.3
 
 [listen]
 callers = 10.1.0.10:8161
