--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -10,8 +10,8 @@
 namespace {
 
     constexpr Core::Duration tickInterval = std::chrono::milliseconds(50);
-    /// Changes of the view within this time are sent together. At 83 entry hosts each publication is 83 writes of a host
-    /// with 0.3 of a core, and heartbeats of hundreds of servers bring changes all the time.
+    /// Changes of the view within this time are sent together. At 83 entry hosts each publication is 83 writes of a
+    /// host with 0.3 of a core, and heartbeats of hundreds of servers bring changes all the time.
     constexpr Core::Duration publishDelay = std::chrono::milliseconds(30);
     constexpr Core::Duration metricsInterval = std::chrono::seconds(1);
     constexpr Core::Duration joinInterval = std::chrono::milliseconds(250);
--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -11,8 +11,8 @@
     constexpr Core::Duration leaseMargin = std::chrono::milliseconds(150);
     /// A server without any heartbeat for this long is forgotten.
     constexpr Core::Duration forgetAfter = std::chrono::seconds(25);
-    /// Answers over which the service time of a server is averaged. Work varies by its own mean, so that 30 answers give
-    /// an error of a fifth; a server of two slots has them in some five seconds.
+    /// Answers over which the service time of a server is averaged. Work varies by its own mean, so that 30 answers
+    /// give an error of a fifth; a server of two slots has them in some five seconds.
     constexpr double averagedAnswers = 30;
     /// Answers that the mean of the pool counts for until a server's own are there.
     constexpr double assumedAnswers = 8;
--- a/Libraries/LibFleet/CoordinatorPlan.cpp
+++ b/Libraries/LibFleet/CoordinatorPlan.cpp
@@ -292,8 +292,7 @@
         if (!server)
             continue;
         std::vector<double> loads;
-        std::ranges::transform(
-            ranges, std::back_inserter(loads), [](auto const& entry) { return entry.state->load; });
+        std::ranges::transform(ranges, std::back_inserter(loads), [](auto const& entry) { return entry.state->load; });
         auto const parts = OverloadShares::admittedParts(loads, capacityOf(*server, service) / service);
         for (std::size_t i = 0; i < ranges.size(); ++i) {
             auto& told = ranges[i].state->admitted;
--- a/Libraries/LibFleet/OverloadShares.cpp
+++ b/Libraries/LibFleet/OverloadShares.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-    /// Demand above this multiple of the capacity is overload. A lower limit refused requests that were served before: the
-    /// measured service times contain the time on the links of the entry hosts, and the load of a server is known to a
-    /// third.
+    /// Demand above this multiple of the capacity is overload. A lower limit refused requests that were served before:
+    /// the measured service times contain the time on the links of the entry hosts, and the load of a server is known
+    /// to a third.
     constexpr double overloadLimit = 3.0;
     /// Admitted in relation to the measured capacity, so that the slots stay busy: it is up to twice as much as was
     /// measured through full links.
@@ -40,8 +40,8 @@
     if (demand <= capacity * overloadLimit)
         return parts;
     auto const level = fillLevel({ loads.begin(), loads.end() }, capacity * admittedMargin);
-    std::ranges::transform(loads, parts.begin(),
-        [level](double load) { return load <= level ? 1.0 : std::max(level / load, minPart); });
+    std::ranges::transform(
+        loads, parts.begin(), [level](double load) { return load <= level ? 1.0 : std::max(level / load, minPart); });
     return parts;
 }
 
--- a/Libraries/LibFleet/RangePlacement.cpp
+++ b/Libraries/LibFleet/RangePlacement.cpp
@@ -28,7 +28,8 @@
     /// A move must leave the receiver below this multiple of the mean.
     constexpr double receiverLimit = 1.05;
     /// Moves of one round. A moving range is not served for about half a heartbeat interval; in a large pool this many
-    /// for each server keep two ranges of a hundred on the move, and even out three speeds of servers in some five seconds.
+    /// for each server keep two ranges of a hundred on the move, and even out three speeds of servers in some five
+    /// seconds.
     constexpr std::size_t minMovesPerRound = 24;
     constexpr double movesPerServer = 0.125;
 
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -226,9 +226,9 @@
 void to_json(nlohmann::json& out, State const& state)
 {
     out = nlohmann::json { { "routes", state.routes_ }, { "pools", state.pools_ }, { "limits", state.limits_ },
-        { "itemRevision", state.itemRevision_ },
-        { "evacuated", state.evacuated_ }, { "servers", state.servers_ }, { "nextServer", state.nextServer_ },
-        { "departed", state.departed_ }, { "keys", state.keys_ }, { "nextFence", state.nextFence_ } };
+        { "itemRevision", state.itemRevision_ }, { "evacuated", state.evacuated_ }, { "servers", state.servers_ },
+        { "nextServer", state.nextServer_ }, { "departed", state.departed_ }, { "keys", state.keys_ },
+        { "nextFence", state.nextFence_ } };
 }
 
 void from_json(nlohmann::json const& in, State& state)
--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -75,8 +75,7 @@
     auto const& route = *row.held.item;
     for (nlohmann::json field : { nlohmann::json(route.host), nlohmann::json(route.prefix),
              nlohmann::json(static_cast<int>(route.kind)), nlohmann::json(route.timeoutMs),
-             nlohmann::json(route.targetLatencyMs), nlohmann::json(route.priority),
-             nlohmann::json(route.maxAttempts) })
+             nlohmann::json(route.targetLatencyMs), nlohmann::json(route.priority), nlohmann::json(route.maxAttempts) })
         out.push_back(std::move(field));
     for (auto const& share : route.shares) {
         out.push_back(share.pool);
@@ -311,8 +310,8 @@
     for (auto const number : update.removedServers)
         servers_.erase(number);
     for (auto const& row : update.ranges.rows)
-        ranges_[row.pool][row.first] = { row.last,
-            { row.owner, now + std::chrono::milliseconds(row.waitMs), row.admitted } };
+        ranges_[row.pool][row.first]
+            = { row.last, { row.owner, now + std::chrono::milliseconds(row.waitMs), row.admitted } };
     if (update.quarantined)
         quarantined_ = { update.quarantined->begin(), update.quarantined->end() };
     if (update.entryHosts)
--- a/Libraries/LibFleet/View.h
+++ b/Libraries/LibFleet/View.h
@@ -27,8 +27,8 @@
 void to_json(nlohmann::json&, RangeRows const&);
 void from_json(nlohmann::json const&, RangeRows&);
 
-/// A configuration item in the view of entry hosts, without the operator's text. Encoded as an array without names, since
-/// a fleet may have thousands of routes and each entry host gets them over a small link.
+/// A configuration item in the view of entry hosts, without the operator's text. Encoded as an array without names,
+/// since a fleet may have thousands of routes and each entry host gets them over a small link.
 template <typename Item> struct ItemRow {
     std::string name;
     Held<Item> held;
--- a/Libraries/LibGateway/EntryLink.cpp
+++ b/Libraries/LibGateway/EntryLink.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    /// Pause before the next control host is asked after one has answered that it does not lead or has gone. Short, since
-    /// a change of the leader takes about a second.
+    /// Pause before the next control host is asked after one has answered that it does not lead or has gone. Short,
+    /// since a change of the leader takes about a second.
     constexpr Core::Duration askInterval = std::chrono::milliseconds(100);
     /// A control host that has not answered within this time may be frozen or behind a full link: the next one is asked
     /// too. Ten round trips of an idle link.
@@ -108,8 +108,8 @@
             onView(channel, *update);
             return;
         }
-        events_.write(EventId::PeerUnreachable,
-            { { "peer", peerOf(channel).toString() }, { "reason", "undecodable view" } });
+        events_.write(
+            EventId::PeerUnreachable, { { "peer", peerOf(channel).toString() }, { "reason", "undecodable view" } });
         channel.close();
         onClosed(channel);
         return;
--- a/Libraries/LibGateway/EntryLink.h
+++ b/Libraries/LibGateway/EntryLink.h
@@ -18,8 +18,8 @@
 /// The connection of an entry host to the control leader.
 ///
 /// Looks for the leader among all control hosts it has heard of. On a link that is full an answer may take most of a
-/// second, and a control host that is frozen takes connections but never answers; so an attempt is not cut off early, but
-/// the next one begins beside it. The first control host that sends a view is the leader.
+/// second, and a control host that is frozen takes connections but never answers; so an attempt is not cut off early,
+/// but the next one begins beside it. The first control host that sends a view is the leader.
 class EntryLink final : private Net::FrameHandler {
 public:
     EntryLink(
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -190,8 +190,8 @@
         if (load.isUnreachable(now) || tried_.contains(number))
             continue;
         servers.push_back(&server);
-        candidates.push_back({ load.expectedWait(now) + load.serviceTime(),
-            server.record.domain == gateway_.settings_.failureDomain });
+        candidates.push_back(
+            { load.expectedWait(now) + load.serviceTime(), server.record.domain == gateway_.settings_.failureDomain });
     }
     std::optional<Refusal> refusal;
     for (auto const index : ServerChoice::order(candidates, gateway_.random_)) {
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -28,8 +28,8 @@
     auto const drawnNear = std::min(nearCount, drawnOfEachKind);
     auto const drawnFar = std::min(order.size() - nearCount, drawnOfEachKind);
     auto const begin = order.begin();
-    std::rotate(begin + static_cast<std::ptrdiff_t>(drawnNear), firstFar,
-        firstFar + static_cast<std::ptrdiff_t>(drawnFar));
+    std::rotate(
+        begin + static_cast<std::ptrdiff_t>(drawnNear), firstFar, firstFar + static_cast<std::ptrdiff_t>(drawnFar));
     auto const cost = [&](std::size_t index) {
         return candidates[index].cost + (isNear(index) ? Core::Duration::zero() : otherDomainPenalty);
     };
--- a/Libraries/LibGateway/ServerChoice.h
+++ b/Libraries/LibGateway/ServerChoice.h
@@ -18,9 +18,9 @@
 
 /// In which order the servers of a pool without keys are tried.
 ///
-/// Answers the pattern in which many entry hosts choose at the same time by knowledge that is seconds old: 77 hosts that
-/// all take the server that looks best fill its queue while others are idle. Each compares a few servers drawn by lot,
-/// two of its own failure domain and two others, and takes the best of them; the rest follow by lot.
+/// Answers the pattern in which many entry hosts choose at the same time by knowledge that is seconds old: 77 hosts
+/// that all take the server that looks best fill its queue while others are idle. Each compares a few servers drawn by
+/// lot, two of its own failure domain and two others, and takes the best of them; the rest follow by lot.
 class ServerChoice {
 public:
     /// Positions of the candidates, the first choice first.
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -22,8 +22,8 @@
     void onReport(ServerLoadReport const&, Core::TimePoint now);
     void onServiceTime(Core::Duration);
     /// How long the work of an answered request took without its wait at the server, as far as the answer tells. With
-    /// the queue that the server reports, since an overloaded server has no answer that did not wait, and would never be
-    /// found slow. Empty if the server reports no load and may have been busy.
+    /// the queue that the server reports, since an overloaded server has no answer that did not wait, and would never
+    /// be found slow. Empty if the server reports no load and may have been busy.
     static std::optional<Core::Duration> serviceTimeOf(
         Core::Duration elapsed, bool wasIdleAtSend, std::optional<ServerLoadReport> const&);
     /// No connection came about. The server is left alone for a while, longer each time.
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -49,8 +49,8 @@
     std::uint32_t maxHeadBytes { 64U * 1024 };
     /// Larger answers are refused, since an answer is held until it is complete.
     std::size_t maxBodyBytes { 16UL * 1024 * 1024 };
-    /// How long a new connection must have lasted before a request is sent on it. A server that has too many connections
-    /// resets a new one at once; whatever was sent by then has an unknown outcome.
+    /// How long a new connection must have lasted before a request is sent on it. A server that has too many
+    /// connections resets a new one at once; whatever was sent by then has an unknown outcome.
     Core::Duration settleTime {};
     /// Shared by all connections over the same link. Null if large bodies are not held up.
     BulkPacer* pacer { nullptr };
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -2,10 +2,10 @@
 
 #include <LibCore/Random.h>
 
-#include <ctime>
-
 #include <boost/test/unit_test.hpp>
 
+#include <ctime>
+
 using namespace TestFleet;
 using namespace Fleet;
 
@@ -438,7 +438,9 @@
     run(leader, { &a, &b }, 4);
     auto const admittedPart = [&](std::uint32_t key) {
         auto const rows = leader.coordinator().allRows();
-        return std::ranges::find_if(rows, [&](auto const& row) { return row.first <= key && key <= row.last; })->admitted;
+        return std::ranges::find_if(rows, [&](auto const& row) {
+            return row.first <= key && key <= row.last;
+        })->admitted;
     };
     BOOST_TEST(admittedPart(hotKey) == 1.0);
     for (int i = 0; i < 8; ++i) {
--- a/Tests/LibGateway/TestEntryLink.cpp
+++ b/Tests/LibGateway/TestEntryLink.cpp
@@ -76,7 +76,8 @@
     // After the loss of the whole group 83 entry hosts asked at once, and none had its view within 600 ms.
     SlowLeader leader(loop, 1s);
     EntryLink link(loop, *events, receiver, "entry", { leader.address });
-    BOOST_TEST(runUntil(loop, [&] { return link.isConnected(); }, 3s));
+    BOOST_TEST(runUntil(
+        loop, [&] { return link.isConnected(); }, 3s));
     BOOST_TEST(leader.hellos.size() == 1U);
 }
 
@@ -85,7 +86,8 @@
     receiver.revision = 5;
     SlowLeader leader(loop, 0s);
     EntryLink link(loop, *events, receiver, "entry", { leader.address });
-    BOOST_TEST(runUntil(loop, [&] { return link.isConnected(); }, 3s));
+    BOOST_TEST(runUntil(
+        loop, [&] { return link.isConnected(); }, 3s));
     BOOST_TEST(leader.hellos.front().itemRevision == 5U);
     BOOST_TEST(receiver.revision == 7U);
 }
@@ -99,7 +101,8 @@
     update.routes = leader.routes;
     BOOST_TEST(ControlHost::makeViewFrame(update).size() < Fleet::encode(update).size() / 2);
     EntryLink link(loop, *events, receiver, "entry", { leader.address });
-    BOOST_TEST(runUntil(loop, [&] { return link.isConnected(); }, 3s));
+    BOOST_TEST(runUntil(
+        loop, [&] { return link.isConnected(); }, 3s));
     BOOST_TEST(receiver.routes == leader.routes.size());
 }
 
@@ -112,7 +115,8 @@
     SlowLeader leader(loop, 900ms);
     auto const began = Core::BootClock::now();
     EntryLink link(loop, *events, receiver, "entry", { frozen, leader.address });
-    BOOST_TEST(runUntil(loop, [&] { return link.isConnected(); }, 4s));
+    BOOST_TEST(runUntil(
+        loop, [&] { return link.isConnected(); }, 4s));
     BOOST_TEST((Core::BootClock::now() - began < 1500ms));
     BOOST_TEST(leader.hellos.size() == 1U);
     for (auto const fd : held)
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -380,7 +380,8 @@
 
 BOOST_AUTO_TEST_CASE(ARequestWhoseServerTakesNoMoreConnectionsIsRefusedAndMayComeBack)
 {
-    // A server whose queue is long resets new connections at once. The request was not sent, so its caller may try again.
+    // A server whose queue is long resets new connections at once. The request was not sent, so its caller may try
+    // again.
     configure();
     a.turnConnectionsAway();
     auto const caller = ask(request("/unsafe/x", "1", "b"));
--- a/Tests/LibGateway/TestPolicies.cpp
+++ b/Tests/LibGateway/TestPolicies.cpp
@@ -137,8 +137,8 @@
 
 BOOST_AUTO_TEST_CASE(AnOverloadedServerIsFoundSlow)
 {
-    // Two slots, a queue of eight, work of 300 ms on the average, and a fifth more requests than it can do: nearly every
-    // answer has waited. Time in steps of a millisecond.
+    // Two slots, a queue of eight, work of 300 ms on the average, and a fifth more requests than it can do: nearly
+    // every answer has waited. Time in steps of a millisecond.
     constexpr double workMs = 300;
     constexpr std::size_t slots = 2;
     constexpr std::size_t places = 8;
@@ -275,8 +275,8 @@
 BOOST_AUTO_TEST_CASE(EntryHostsThatKnowTheSameDoNotAllChooseTheSameServer)
 {
     // 77 entry hosts, each of which sees a server once in several seconds, share 38 servers of which two look twice as
-    // fast. With every request at the best-looking one 28 of 100 uploads found a full queue while half of the slots were
-    // idle.
+    // fast. With every request at the best-looking one 28 of 100 uploads found a full queue while half of the slots
+    // were idle.
     constexpr std::size_t servers = 38;
     constexpr int requests = 20'000;
     std::vector<ServerCandidate> candidates(servers, { 300ms, false });
