--- a/Libraries/LibGateway/EntryLink.cpp
+++ b/Libraries/LibGateway/EntryLink.cpp
@@ -13,7 +13,8 @@
     /// since a change of the leader takes about a second.
     constexpr Core::Duration askInterval = std::chrono::milliseconds(100);
     /// A control host that has not answered within this time may be frozen or behind a full link: the next one is asked
-    /// too. Some ten times what an answer takes on an idle link, a quarter of the time after which a silent channel ends.
+    /// too. Some ten times what an answer takes on an idle link, a quarter of the time after which a silent channel
+    /// ends.
     constexpr Core::Duration besideInterval = std::chrono::milliseconds(250);
     /// Control hosts that are asked at the same time. Two may be lost at once.
     constexpr std::size_t maxAttempts = 3;
