--- a/Tests/LibGateway/TestPolicies.cpp
+++ b/Tests/LibGateway/TestPolicies.cpp
@@ -160,8 +160,9 @@
             if (job.endsAt > now)
                 continue;
             ServerLoadReport const report { slots, static_cast<std::uint32_t>(waiting.size()), slots, 1 };
-            sum += Core::toMilliseconds(
-                *ServerLoad::serviceTimeOf(std::chrono::milliseconds(now - job.arrivedAt), false, report));
+            auto const elapsed = std::chrono::milliseconds(now - job.arrivedAt);
+            auto const serviceTime = *ServerLoad::serviceTimeOf(elapsed, false, report);
+            sum += std::chrono::duration<double, std::milli>(serviceTime).count();
             ++answers;
         }
         std::erase_if(running, [&](auto const& job) { return job.endsAt <= now; });
