Log each request and answer that an entry host cuts off when it stops

The log had only the number of requests that were open at the end (ShutdownGraceExceeded), which cannot tell a request at a silent server from one whose body waits for the host's link, nor from an answer that was given and not sent.

New events: RequestUnfinished (409) names each open request with what it waits for, its server, sends, bytes not sent and time left; AnswerCutOff (410) names a connection that this side closed while a part of its answer had not been taken by the kernel. No logic changes: the connections that EntryHost now closes were closed by the end of the process in the same turn.

ARequestThatIsCutOffIsNamedInTheLog checks the event.

--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -67,7 +67,9 @@
     auto const isDone = elapsed >= balancerDelay && gateway_.connectionCount() == 0;
     if (isDone || elapsed >= settings_.stopGrace - stopMargin) {
         if (!isDone)
-            events_.write(EventId::ShutdownGraceExceeded, { { "requests", gateway_.requestCount() } });
+            events_.write(EventId::ShutdownGraceExceeded,
+                { { "connections", gateway_.connectionCount() }, { "requests", gateway_.requestCount() } });
+        gateway_.closeAll();
         loop_.stop();
         return;
     }
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -425,6 +425,20 @@
     gateway_.links_.abandon(std::exchange(link_, nullptr));
 }
 
+void Exchange::logUnfinished() const
+{
+    auto const now = gateway_.loop_.now();
+    auto const* const server = link_ ? gateway_.view_.findServer(server_) : nullptr;
+    gateway_.events_.write(EventId::RequestUnfinished,
+        { { "request", terms_.attemptId }, { "route", route_.value },
+            { "waitsFor", std::string_view(link_ ? "server" : "owner") },
+            { "server", server ? server->record.name.value : "" }, { "sends", sends_ },
+            { "unsentBytes", link_ ? ServerLinks::unsentBytes(*link_) : 0 },
+            { "ageMs", Core::toMilliseconds(now - request_.startedAt) },
+            { "sentAgoMs", link_ ? Core::toMilliseconds(now - sentAt_) : 0 },
+            { "leftMs", Core::toMilliseconds(left()) } });
+}
+
 void Exchange::respond(Net::HttpResponse const& response, std::string_view outcome, std::string_view reason)
 {
     gateway_.metrics_.countRequest(pool_, route_, outcome, reason, gateway_.loop_.now() - request_.startedAt);
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -19,6 +19,8 @@
     void abandon();
     /// The view has changed; a request that waits for an owner looks again.
     void onViewChanged();
+    /// Writes what the request waits for to the event log.
+    void logUnfinished() const;
 
 private:
     void onAnswer(Net::HttpAnswer, AnswerTerms const&) override;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -94,6 +94,19 @@
     loop_.reclaim(std::move(node.mapped()));
 }
 
+void Gateway::onAnswerCutOff(Net::ExchangeId id, std::size_t unsentBytes)
+{
+    events_.write(
+        Telemetry::EventId::AnswerCutOff, { { "connection", id.connection }, { "unsentBytes", unsentBytes } });
+}
+
+void Gateway::closeAll()
+{
+    for (auto const& [id, exchange] : exchanges_)
+        exchange->logUnfinished();
+    server_->closeAll();
+}
+
 void Gateway::finish(Net::ExchangeId id, Net::HttpResponse const& response)
 {
     server_->respond(id, response);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -44,6 +44,8 @@
     void closeIdleConnections() { server_->closeIdle(); }
     std::size_t connectionCount() const { return server_ ? server_->connectionCount() : 0; }
     std::size_t requestCount() const { return exchanges_.size(); }
+    /// Closes all connections, and logs each request and answer that this cuts off.
+    void closeAll();
     /// Arrivals, latencies and suspicions since the last report.
     Fleet::LoadReport takeReport();
 
@@ -52,6 +54,7 @@
 
     void onRequest(Net::ExchangeId, Net::HttpRequest) override;
     void onAbandoned(Net::ExchangeId) override;
+    void onAnswerCutOff(Net::ExchangeId, std::size_t unsentBytes) override;
     void finish(Net::ExchangeId, Net::HttpResponse const&);
     ServerLoad& loadOf(Fleet::ServerRecord const&);
     RetryShare& retriesOf(Core::PoolName const&);
--- a/Libraries/LibGateway/ServerLinks.cpp
+++ b/Libraries/LibGateway/ServerLinks.cpp
@@ -51,6 +51,7 @@
     void detach() { user_ = nullptr; }
 
     Fleet::ServerNumber number() const { return number_; }
+    std::size_t unsentBytes() const { return client_.unsentBytes(); }
     bool mayBeUsed(Core::TimePoint now, Core::Duration limit) const
     {
         auto const announced = client_.announcedIdleTimeout();
@@ -135,6 +136,8 @@
     release(*link, false);
 }
 
+std::size_t ServerLinks::unsentBytes(ServerLink const& link) { return link.unsentBytes(); }
+
 void ServerLinks::release(ServerLink& link, bool isReusable)
 {
     auto const server = servers_.find(link.number());
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -65,6 +65,8 @@
     /// Sends a request. `expectsNoBody` for the method HEAD.
     void send(std::string_view bytes, bool expectsNoBody);
     bool isBusy() const { return isBusy_; }
+    /// Bytes of the request that wait for the connection or the pacer, or that the kernel has not taken.
+    std::size_t unsentBytes() const { return unsent_.size() - unsentBegin_ + stream_.pendingBytes(); }
     /// The server keeps the connection open and nothing unexpected arrived on it.
     bool isReusable() const { return isReusable_ && stream_.isOpen(); }
     /// How long the server keeps an idle connection, if it says so.
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -60,6 +60,8 @@
     void shutDown()
     {
         server_.loop_.cancel(timer_);
+        if (stream_.isOpen() && stream_.pendingBytes() > 0)
+            server_.handler_.onAnswerCutOff({ id_, exchange_ }, stream_.pendingBytes());
         stream_.close();
     }
 
@@ -309,4 +311,10 @@
         drop(id);
 }
 
+void HttpServer::closeAll()
+{
+    while (!connections_.empty())
+        drop(connections_.begin()->first);
+}
+
 } // namespace Net
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -49,6 +49,8 @@
     virtual void onRequest(ExchangeId, HttpRequest) = 0;
     /// The caller left before its answer.
     virtual void onAbandoned(ExchangeId) { }
+    /// This side closed the connection while a part of the answer had not been handed to the network.
+    virtual void onAnswerCutOff(ExchangeId, std::size_t) { }
 };
 
 /// Serves HTTP/1.1 on one address. Requests are read whole before they are handed over, one at a time a connection.
@@ -69,6 +71,8 @@
     void stopListening() { listener_.reset(); }
     /// Closes connections that wait for no answer and have sent nothing of a request.
     void closeIdle();
+    /// Closes every connection at once. Only what the kernel has taken is still sent.
+    void closeAll();
     std::size_t connectionCount() const { return connections_.size(); }
     /// Bytes of request bodies that are being read or answered.
     std::uint64_t heldBodyBytes() const { return heldBodyBytes_; }
--- a/Libraries/LibTelemetry/Event.h
+++ b/Libraries/LibTelemetry/Event.h
@@ -64,6 +64,8 @@
     ResponseTruncated = 406,
     ConnectionHalfOpen = 407,
     CallerConnectionsExhausted = 408,
+    RequestUnfinished = 409,
+    AnswerCutOff = 410,
     // Dispatch: 500 to 599.
     DispatcherAppointed = 500,
     DispatcherDismissed = 501,
--- /dev/null
+++ b/Tests/LibGateway/FakeLeader.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "../Support/Loopback.h"
+
+#include <LibControlHost/Frames.h>
+#include <LibFleet/View.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace TestGateway {
+
+using namespace Test;
+
+/// A control host that leads, and sends its view after a delay, as over a small link.
+class FakeLeader final : private Net::FrameHandler {
+public:
+    FakeLeader(Net::EventLoop& loop, Core::Duration delay)
+        : loop_(loop)
+        , delay_(delay)
+        , listener_(Net::Listener::open(loop, address, [this](int fd) {
+            Net::FrameHandler& handler = *this;
+            channels_.push_back(std::make_unique<Net::FrameChannel>(loop_, handler, fd));
+        }))
+    {
+    }
+
+    Core::Endpoint const address { "127.0.0.1", freePort() };
+    std::vector<ControlHost::Hello> hellos;
+    Fleet::ViewUpdate view;
+
+private:
+    void onFrame(Net::FrameChannel& channel, std::string_view frame) override
+    {
+        auto const hello = Fleet::decode<ControlHost::Hello>(frame.substr(1));
+        BOOST_REQUIRE(hello.has_value());
+        hellos.push_back(*hello);
+        channel.send(makeFrame(ControlHost::FrameType::Leader, ControlHost::LeaderHint { address, { address } }));
+        loop_.after(delay_, [this, &channel] {
+            view.isWhole = true;
+            view.itemRevision = 7;
+            channel.send(ControlHost::makeViewFrame(view));
+        });
+    }
+    void onClosed(Net::FrameChannel& channel) override { channel.close(); }
+
+    Net::EventLoop& loop_;
+    Core::Duration delay_;
+    std::vector<std::unique_ptr<Net::FrameChannel>> channels_;
+    std::unique_ptr<Net::Listener> listener_;
+};
+
+} // namespace TestGateway
--- a/Tests/LibGateway/FakeServers.cpp
+++ b/Tests/LibGateway/FakeServers.cpp
@@ -121,4 +121,55 @@
         + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+Fleet::RouteItem route(
+    std::string const& name, std::string const& prefix, Fleet::RequestKind kind, Core::PoolName const& pool)
+{
+    Fleet::RouteItem item;
+    item.name = { name };
+    item.version = 1;
+    item.host = "host.example";
+    item.prefix = prefix;
+    item.kind = kind;
+    item.timeoutMs = 5000;
+    item.maxAttempts = 2;
+    item.shares = { { pool, 1 } };
+    return item;
+}
+
+Fleet::PoolItem pool(Core::PoolName const& name, bool isKeyDivided)
+{
+    Fleet::PoolItem item;
+    item.name = name;
+    item.version = 1;
+    item.maxConnections = 320;
+    item.isKeyDivided = isKeyDivided;
+    item.warmupPerSecond = 1;
+    return item;
+}
+
+Fleet::ServerRow server(Fleet::ServerNumber number, FakeServer const& fake, Core::PoolName const& pool)
+{
+    Fleet::ServerRow row;
+    row.server.number = number;
+    row.server.name = { "life-" + std::to_string(number) };
+    row.server.address = fake.address();
+    row.server.pool = pool;
+    row.server.domain = { "here" };
+    row.server.slots = 4;
+    return row;
+}
+
+std::string request(std::string const& path, std::string const& id, std::string const& body, int leftMs)
+{
+    auto const method = body.empty() ? "GET " : "POST ";
+    auto const length = body.empty() ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return method + path + " HTTP/1.1\r\nHost: host.example\r\nAttempt: " + id
+        + "\r\nKey: 7\r\nLeft-Ms: " + std::to_string(leftMs) + "\r\n" + length + "\r\n" + body;
+}
+
+FakeServer::Script answering(std::string const& statusLine, std::string const& body, std::string const& fields)
+{
+    return [=](auto const& request) { return FakeServer::Reaction { answerTo(request, statusLine, body, fields) }; };
+}
+
 } // namespace TestGateway
--- a/Tests/LibGateway/FakeServers.h
+++ b/Tests/LibGateway/FakeServers.h
@@ -2,6 +2,7 @@
 
 #include "../Support/Loopback.h"
 
+#include <LibFleet/View.h>
 #include <LibGateway/RequestCodec.h>
 #include <LibNet/HttpServer.h>
 
@@ -65,4 +66,46 @@
 std::string answerTo(std::string const& request, std::string const& statusLine, std::string const& body,
     std::string const& extraFields = {});
 
+/// A caller's connection that collects what it receives.
+class Caller final : private Net::StreamHandler {
+public:
+    Caller(Net::EventLoop& loop, Core::Endpoint const& address)
+        : loop_(loop)
+        , stream_(new Net::Stream(loop, *this, address, Net::StreamSettings {}))
+    {
+    }
+
+    void send(std::string const& bytes) { stream_->write(bytes); }
+    void close() { stream_->close(); }
+    std::string const& received() const { return received_; }
+    bool isEnded() const { return isEnded_; }
+    bool waitForAnswer()
+    {
+        return runUntil(loop_, [this] { return isEnded_ || received_.find("\r\n\r\n") != std::string::npos; });
+    }
+    std::string status() const { return received_.size() < 12 ? std::string() : received_.substr(9, 3); }
+    void forget() { received_.clear(); }
+
+private:
+    void onData(Net::Stream& stream) override
+    {
+        received_.append(stream.input().view());
+        stream.input().consume(stream.input().view().size());
+    }
+    void onEnd(Net::Stream&, Net::StreamEnd) override { isEnded_ = true; }
+
+    Net::EventLoop& loop_;
+    std::unique_ptr<Net::Stream> stream_;
+    std::string received_;
+    bool isEnded_ { false };
+};
+
+/// Items of a view and requests of callers, with the usual values where a test does not care.
+Fleet::RouteItem route(
+    std::string const& name, std::string const& prefix, Fleet::RequestKind kind, Core::PoolName const& pool);
+Fleet::PoolItem pool(Core::PoolName const& name, bool isKeyDivided);
+Fleet::ServerRow server(Fleet::ServerNumber number, FakeServer const& fake, Core::PoolName const& pool);
+std::string request(std::string const& path, std::string const& id, std::string const& body = {}, int leftMs = 4000);
+FakeServer::Script answering(std::string const& statusLine, std::string const& body, std::string const& fields = {});
+
 } // namespace TestGateway
--- a/Tests/LibGateway/TestEntryLink.cpp
+++ b/Tests/LibGateway/TestEntryLink.cpp
@@ -1,54 +1,14 @@
-#include "../Support/Loopback.h"
+#include "FakeLeader.h"
 
 #include <LibGateway/EntryLink.h>
 
 #include <boost/test/unit_test.hpp>
 
 using namespace Gateway;
-using namespace Test;
+using namespace TestGateway;
 
 namespace {
 
-/// A control host that leads and needs a long time for its view, as over a small link.
-class SlowLeader final : private Net::FrameHandler {
-public:
-    SlowLeader(Net::EventLoop& loop, Core::Duration delay)
-        : loop_(loop)
-        , delay_(delay)
-        , listener_(Net::Listener::open(loop, address, [this](int fd) {
-            Net::FrameHandler& handler = *this;
-            channels_.push_back(std::make_unique<Net::FrameChannel>(loop_, handler, fd));
-        }))
-    {
-    }
-
-    Core::Endpoint const address { "127.0.0.1", freePort() };
-    std::vector<ControlHost::Hello> hellos;
-    std::vector<Fleet::RouteRow> routes;
-
-private:
-    void onFrame(Net::FrameChannel& channel, std::string_view frame) override
-    {
-        auto const hello = Fleet::decode<ControlHost::Hello>(frame.substr(1));
-        BOOST_REQUIRE(hello.has_value());
-        hellos.push_back(*hello);
-        channel.send(makeFrame(ControlHost::FrameType::Leader, ControlHost::LeaderHint { address, { address } }));
-        loop_.after(delay_, [this, &channel] {
-            Fleet::ViewUpdate update;
-            update.isWhole = true;
-            update.itemRevision = 7;
-            update.routes = routes;
-            channel.send(ControlHost::makeViewFrame(update));
-        });
-    }
-    void onClosed(Net::FrameChannel& channel) override { channel.close(); }
-
-    Net::EventLoop& loop_;
-    Core::Duration delay_;
-    std::vector<std::unique_ptr<Net::FrameChannel>> channels_;
-    std::unique_ptr<Net::Listener> listener_;
-};
-
 class ViewReceiver final : public EntryLinkHandler {
 public:
     void onView(Fleet::ViewUpdate const& update) override
@@ -74,7 +34,7 @@
 BOOST_FIXTURE_TEST_CASE(AViewThatTakesASecondIsNotCutOff, LinkFixture)
 {
     // After the loss of the whole group 83 entry hosts asked at once, and none had its view within 600 ms.
-    SlowLeader leader(loop, 1s);
+    FakeLeader leader(loop, 1s);
     EntryLink link(loop, *events, receiver, "entry", { leader.address });
     BOOST_TEST(runUntil(
         loop, [&] { return link.isConnected(); }, 3s));
@@ -84,7 +44,7 @@
 BOOST_FIXTURE_TEST_CASE(AnEntryHostTellsANewLeaderWhichItemsItHas, LinkFixture)
 {
     receiver.revision = 5;
-    SlowLeader leader(loop, 0s);
+    FakeLeader leader(loop, 0s);
     EntryLink link(loop, *events, receiver, "entry", { leader.address });
     BOOST_TEST(runUntil(
         loop, [&] { return link.isConnected(); }, 3s));
@@ -94,16 +54,16 @@
 
 BOOST_FIXTURE_TEST_CASE(AViewOfManyRoutesArrivesCompressed, LinkFixture)
 {
-    SlowLeader leader(loop, 0s);
+    FakeLeader leader(loop, 0s);
     for (int i = 0; i < 1680; ++i)
-        leader.routes.push_back({ "route-" + std::to_string(i), { 3, std::nullopt } });
+        leader.view.routes.push_back({ "route-" + std::to_string(i), { 3, std::nullopt } });
     Fleet::ViewUpdate update;
-    update.routes = leader.routes;
+    update.routes = leader.view.routes;
     BOOST_TEST(ControlHost::makeViewFrame(update).size() < Fleet::encode(update).size() / 2);
     EntryLink link(loop, *events, receiver, "entry", { leader.address });
     BOOST_TEST(runUntil(
         loop, [&] { return link.isConnected(); }, 3s));
-    BOOST_TEST(receiver.routes == leader.routes.size());
+    BOOST_TEST(receiver.routes == leader.view.routes.size());
 }
 
 BOOST_FIXTURE_TEST_CASE(AFrozenControlHostDoesNotHoldUpTheSearchForTheLeader, LinkFixture)
@@ -112,7 +72,7 @@
     Core::Endpoint const frozen { "127.0.0.1", freePort() };
     std::vector<int> held;
     auto const listener = Net::Listener::open(loop, frozen, [&](int fd) { held.push_back(fd); });
-    SlowLeader leader(loop, 900ms);
+    FakeLeader leader(loop, 900ms);
     auto const began = Core::BootClock::now();
     EntryLink link(loop, *events, receiver, "entry", { frozen, leader.address });
     BOOST_TEST(runUntil(
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -1,9 +1,12 @@
+#include "../Support/TemporaryFolder.h"
 #include "FakeServers.h"
 
 #include <LibGateway/Exchange.h>
 
 #include <boost/test/unit_test.hpp>
 
+#include <fstream>
+
 using namespace TestGateway;
 using Then = FakeServer::Reaction::Then;
 
@@ -15,44 +18,10 @@
 Core::PoolName const keyed { "keyed" };
 Core::PoolName const unkeyed { "unkeyed" };
 
-/// A caller's connection that collects what it receives.
-class Caller final : private Net::StreamHandler {
-public:
-    Caller(Net::EventLoop& loop, Core::Endpoint const& address)
-        : loop_(loop)
-        , stream_(new Net::Stream(loop, *this, address, Net::StreamSettings {}))
-    {
-    }
-
-    void send(std::string const& bytes) { stream_->write(bytes); }
-    void close() { stream_->close(); }
-    std::string const& received() const { return received_; }
-    bool isEnded() const { return isEnded_; }
-    bool waitForAnswer()
-    {
-        return runUntil(loop_, [this] { return isEnded_ || received_.find("\r\n\r\n") != std::string::npos; });
-    }
-    std::string status() const { return received_.size() < 12 ? std::string() : received_.substr(9, 3); }
-    void forget() { received_.clear(); }
-
-private:
-    void onData(Net::Stream& stream) override
-    {
-        received_.append(stream.input().view());
-        stream.input().consume(stream.input().view().size());
-    }
-    void onEnd(Net::Stream&, Net::StreamEnd) override { isEnded_ = true; }
-
-    Net::EventLoop& loop_;
-    std::unique_ptr<Net::Stream> stream_;
-    std::string received_;
-    bool isEnded_ { false };
-};
-
 /// An entry host with one server for keys and two for a pool without keys.
 struct Fixture {
     Fixture()
-        : events(Telemetry::EventLog::open({ .file = "/dev/null" }, clock).value())
+        : events(Telemetry::EventLog::open({ .file = folder.file("event.log") }, clock).value())
         , a(loop, [](auto const& request) { return FakeServer::Reaction { answerTo(request, "200 OK", "from-a") }; })
         , b(loop, [](auto const& request) { return FakeServer::Reaction { answerTo(request, "200 OK", "from-b") }; })
         , gateway(loop, *events, metrics, codec, settings())
@@ -70,44 +39,6 @@
         return result;
     }
 
-    static Fleet::RouteItem route(
-        std::string const& name, std::string const& prefix, Fleet::RequestKind kind, Core::PoolName const& pool)
-    {
-        Fleet::RouteItem item;
-        item.name = { name };
-        item.version = 1;
-        item.host = "host.example";
-        item.prefix = prefix;
-        item.kind = kind;
-        item.timeoutMs = 5000;
-        item.maxAttempts = 2;
-        item.shares = { { pool, 1 } };
-        return item;
-    }
-
-    static Fleet::PoolItem pool(Core::PoolName const& name, bool isKeyDivided)
-    {
-        Fleet::PoolItem item;
-        item.name = name;
-        item.version = 1;
-        item.maxConnections = 320;
-        item.isKeyDivided = isKeyDivided;
-        item.warmupPerSecond = 1;
-        return item;
-    }
-
-    static Fleet::ServerRow server(Fleet::ServerNumber number, FakeServer const& fake, Core::PoolName const& pool)
-    {
-        Fleet::ServerRow row;
-        row.server.number = number;
-        row.server.name = { "life-" + std::to_string(number) };
-        row.server.address = fake.address();
-        row.server.pool = pool;
-        row.server.domain = { "here" };
-        row.server.slots = 4;
-        return row;
-    }
-
     void add(Fleet::ViewUpdate& update, Fleet::RouteItem const& item)
     {
         update.routes.push_back({ item.name.value, { item.version, item } });
@@ -137,17 +68,9 @@
         return caller;
     }
 
-    static std::string request(
-        std::string const& path, std::string const& id, std::string const& body = {}, int leftMs = 4000)
-    {
-        auto const method = body.empty() ? "GET " : "POST ";
-        auto const length = body.empty() ? std::string() : "Content-Length: " + std::to_string(body.size()) + "\r\n";
-        return method + path + " HTTP/1.1\r\nHost: host.example\r\nAttempt: " + id
-            + "\r\nKey: 7\r\nLeft-Ms: " + std::to_string(leftMs) + "\r\n" + length + "\r\n" + body;
-    }
-
     Net::EventLoop loop;
     Core::SystemClock clock;
+    TemporaryFolder folder;
     std::unique_ptr<Telemetry::EventLog> events;
     Telemetry::Metrics metrics;
     TestCodec codec;
@@ -157,11 +80,6 @@
     Core::Endpoint address;
 };
 
-FakeServer::Script answering(std::string const& statusLine, std::string const& body, std::string const& fields = {})
-{
-    return [=](auto const& request) { return FakeServer::Reaction { answerTo(request, statusLine, body, fields) }; };
-}
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(Exchanges, Fixture)
@@ -500,4 +418,19 @@
     BOOST_TEST(a.requests().size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ARequestThatIsCutOffIsNamedInTheLog)
+{
+    configure();
+    a.setScript([](auto const&) { return FakeServer::Reaction {}; });
+    auto const caller = connect();
+    caller->send(request("/unsafe/x", "cut-off"));
+    BOOST_REQUIRE(runUntil(loop, [&] { return a.requests().size() == 1; }));
+    gateway.closeAll();
+    std::ifstream log(folder.file("event.log"));
+    std::string const text { std::istreambuf_iterator<char>(log), {} };
+    BOOST_TEST(text.find("RequestUnfinished") != std::string::npos);
+    BOOST_TEST(text.find("\"request\":\"cut-off\"") != std::string::npos);
+    BOOST_TEST(text.find("\"waitsFor\":\"server\"") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibTelemetry/TestSpans.cpp
+++ b/Tests/LibTelemetry/TestSpans.cpp
@@ -1,4 +1,4 @@
-#include "TemporaryFolder.h"
+#include "../Support/TemporaryFolder.h"
 
 #include <LibTelemetry/SpanWriter.h>
 
