Add a failing test: a stop cuts off a request at a server that stays silent

On this code the connection is closed with no byte of an answer 600 ms before the end of the grace (caller.status() is "", expected "504"); the event log has RequestUnfinished with waitsFor=server, unsentBytes=0.

--- /dev/null
+++ b/Tests/LibGateway/TestEntryHost.cpp
@@ -0,0 +1,84 @@
+#include "FakeLeader.h"
+#include "FakeServers.h"
+
+#include <LibGateway/EntryHost.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace TestGateway;
+
+namespace {
+
+Core::PoolName const scans { "scans" };
+
+/// A server that drops what it cannot queue answers neither this request nor any later one on the connection.
+FakeServer::Reaction staySilent(std::string const&) { return {}; }
+
+/// An entry host with one pool of one server.
+struct StopFixture {
+    StopFixture()
+        : events(Telemetry::EventLog::open({ .file = "/dev/null" }, clock).value())
+        , server(loop, staySilent)
+        , leader(loop, 0s)
+    {
+        auto const item = route("scan", "/scan/", Fleet::RequestKind::Unsafe, scans);
+        leader.view.routes = { { item.name.value, { item.version, item } } };
+        leader.view.pools = { { scans.value, { 1, pool(scans, false) } } };
+        leader.view.servers = { TestGateway::server(1, server, scans) };
+        leader.view.entryHosts = { "entry" };
+        Gateway::EntryHostSettings settings;
+        settings.name = "entry";
+        settings.callers = { "127.0.0.1", freePort() };
+        settings.controlHosts = { leader.address };
+        settings.stopGrace = grace;
+        settings.gateway.name = "entry";
+        settings.gateway.retries = { 0.2, 200, 10s };
+        settings.gateway.linkBytesPerSecond = linkBytesPerSecond;
+        host = std::make_unique<Gateway::EntryHost>(loop, *events, metrics, codec, settings);
+        BOOST_REQUIRE(host->listen());
+        BOOST_REQUIRE(runUntil(loop, [&] { return host->isReady(); }));
+        address = settings.callers;
+    }
+
+    /// Stops the host and runs it until its process would end.
+    void stop()
+    {
+        host->beginStop();
+        loop.after(grace, [&] { wasKilled = true; });
+        loop.run();
+        BOOST_TEST(!wasKilled);
+        // What the kernel still delivers after the end of a process.
+        runFor(loop, 20ms);
+    }
+
+    static constexpr Core::Duration grace = 4s;
+    static constexpr double linkBytesPerSecond = 20e3;
+
+    Net::EventLoop loop;
+    Core::SystemClock clock;
+    std::unique_ptr<Telemetry::EventLog> events;
+    Telemetry::Metrics metrics;
+    TestCodec codec;
+    FakeServer server;
+    FakeLeader leader;
+    std::unique_ptr<Gateway::EntryHost> host;
+    Core::Endpoint address;
+    bool wasKilled { false };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EntryHosts, StopFixture)
+
+// Incident inc1: the process ended before the deadline of the request, and its caller got neither answer nor refusal.
+BOOST_AUTO_TEST_CASE(ARequestAtASilentServerIsAnsweredBeforeTheProcessEnds)
+{
+    Caller caller(loop, address);
+    caller.send(request("/scan/x", "1", "image", 8000));
+    BOOST_REQUIRE(runUntil(loop, [&] { return server.requests().size() == 1; }));
+    stop();
+    // It may have run.
+    BOOST_TEST(caller.status() == "504");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
