Answer every request before a stopping entry host ends

Cause: the stop ended the process 5.4 s after SIGTERM, but requests kept the deadlines of their callers, 8 s here. A server that drops a request from a full queue without an answer leaves it open until that deadline, so it was open when the process ended.

ShutdownGraceExceeded requests=1 was logged 9 ms before each of the connections was closed; one arrival at a server for each request, no answer.

Why this works: the stop sets a time by which every request is answered, 800 ms before the grace ends, and it limits the deadline of each request, those that arrive later included. A request at a server ends with 504 (it may have run), one that is at no server with 503; one that waits for an owner beyond that time is refused at once. Servers are told the shorter time, so that they drop from their queues, and say so, what could not be answered here. The process ends when the connections are gone, 250 ms before the grace ends at the latest, so that the last answers have half a second to cross a full link.

New: AServerGetsNoMoreTimeThanAStoppingHostHas, AStoppingHostRefusesAtOnceWhatWaitsForAnOwnerBeyondItsEnd.

--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -14,8 +14,11 @@
     /// where no other host is ready.
     constexpr Core::Duration takingTime = std::chrono::milliseconds(2900);
     constexpr Core::Duration stopCheckInterval = std::chrono::milliseconds(50);
+    /// Every request is answered this long before the end of the grace. An answer then has half a second to cross the
+    /// host's link; a request that was sent before the stop had more than four fifths of a grace of six seconds.
+    constexpr Core::Duration answerMargin = std::chrono::milliseconds(800);
     /// Kept from the grace, so that the process ends by itself.
-    constexpr Core::Duration stopMargin = std::chrono::milliseconds(600);
+    constexpr Core::Duration stopMargin = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -53,7 +56,7 @@
         return;
     stopBegan_ = loop_.now();
     events_.write(EventId::ProcessStopping, { { "connections", gateway_.connectionCount() } });
-    gateway_.startDraining();
+    gateway_.startDraining(stopBegan_ + settings_.stopGrace - answerMargin);
     continueStop();
 }
 
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -60,10 +60,26 @@
 {
     if (!readTerms())
         return;
-    deadlineTimer_ = gateway_.loop_.after(left() + deadlineGrace, [this] { onDeadline(); });
+    startDeadlineTimer();
     place();
 }
 
+void Exchange::startDeadlineTimer()
+{
+    gateway_.loop_.cancel(deadlineTimer_);
+    deadlineTimer_ = gateway_.loop_.after(left() + deadlineGrace, [this] { onDeadline(); });
+}
+
+void Exchange::limitDeadline(Core::TimePoint latest)
+{
+    if (deadline_ <= latest)
+        return;
+    deadline_ = latest;
+    startDeadlineTimer();
+    if (isWaiting_ && ownerExpectedAt_ > deadline_)
+        refuse("stopping", {});
+}
+
 /// False if the request was answered already.
 bool Exchange::readTerms()
 {
@@ -91,6 +107,8 @@
     if (terms_.timeLeft)
         patience = std::min(patience, *terms_.timeLeft);
     deadline_ = request_.startedAt + patience;
+    if (gateway_.endsAt_)
+        deadline_ = std::min(deadline_, *gateway_.endsAt_);
     target_ = request_.startedAt + std::chrono::milliseconds(route->targetLatencyMs);
     auto const* const share = gateway_.splits_[route_].choose(route->shares);
     if (!share) {
@@ -249,6 +267,7 @@
         return;
     }
     isWaiting_ = true;
+    ownerExpectedAt_ = expectedAt;
     waitTimer_ = gateway_.loop_.after(latest - now, [this] {
         waitTimer_ = {};
         isWaiting_ = false;
@@ -405,14 +424,16 @@
 
 void Exchange::onDeadline()
 {
+    auto const isStopping = gateway_.endsAt_ && deadline_ >= *gateway_.endsAt_;
+    std::string_view const reason = isStopping ? "stopping" : "deadline";
     if (!link_) {
-        refuse("deadline", defaultRetryAfter);
+        refuse(reason, defaultRetryAfter);
         return;
     }
     if (auto const* const server = gateway_.view_.findServer(server_))
         gateway_.loadOf(server->record).onDone();
     gateway_.links_.abandon(std::exchange(link_, nullptr));
-    fail(statusGatewayTimeout, "deadline");
+    fail(statusGatewayTimeout, reason);
 }
 
 void Exchange::abandon()
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -19,6 +19,8 @@
     void abandon();
     /// The view has changed; a request that waits for an owner looks again.
     void onViewChanged();
+    /// The answer must be given by this time, whatever time the caller has.
+    void limitDeadline(Core::TimePoint);
     /// Writes what the request waits for to the event log.
     void logUnfinished() const;
 
@@ -39,6 +41,7 @@
     bool mayTryAgain();
     /// Whether the route's bound on servers that run one request allows this one.
     bool mayRunAt(Fleet::ServerNumber) const;
+    void startDeadlineTimer();
     void onDeadline();
     void relay(Net::HttpAnswer);
     void refuse(std::string_view reason, Core::Duration retryAfter);
@@ -71,6 +74,8 @@
     /// A send whose outcome is unknown: the request may have run.
     bool mayHaveRun_ { false };
     bool isWaiting_ { false };
+    /// Of the owner that the request waits for.
+    Core::TimePoint ownerExpectedAt_;
     /// Servers that this request was sent to.
     std::set<Fleet::ServerNumber> tried_;
     /// Those that may have run it.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -35,7 +35,23 @@
     return server_ != nullptr;
 }
 
-void Gateway::startDraining() { server_->startDraining(); }
+void Gateway::startDraining(Core::TimePoint endsAt)
+{
+    endsAt_ = endsAt;
+    server_->startDraining();
+    forEachExchange([endsAt](Exchange& exchange) { exchange.limitDeadline(endsAt); });
+}
+
+void Gateway::forEachExchange(std::function<void(Exchange&)> const& function)
+{
+    std::vector<Net::ExchangeId> ids;
+    std::ranges::transform(exchanges_, std::back_inserter(ids), [](auto const& entry) { return entry.first; });
+    for (auto const& id : ids) {
+        auto const found = exchanges_.find(id);
+        if (found != exchanges_.end())
+            function(*found->second);
+    }
+}
 
 void Gateway::stopTaking()
 {
@@ -60,14 +76,7 @@
     }
     if (update.ranges.rows.empty() && update.servers.empty())
         return;
-    // An exchange that looks again may end and leave the map.
-    std::vector<Net::ExchangeId> ids;
-    std::ranges::transform(exchanges_, std::back_inserter(ids), [](auto const& entry) { return entry.first; });
-    for (auto const& id : ids) {
-        auto const found = exchanges_.find(id);
-        if (found != exchanges_.end())
-            found->second->onViewChanged();
-    }
+    forEachExchange([](Exchange& exchange) { exchange.onViewChanged(); });
 }
 
 void Gateway::onRequest(Net::ExchangeId id, Net::HttpRequest request)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -37,8 +37,8 @@
     void apply(Fleet::ViewUpdate const&);
     bool isReady() const { return view_.isConfigured(); }
     std::uint64_t itemRevision() const { return view_.itemRevision(); }
-    /// Answers close their connections from now on.
-    void startDraining();
+    /// Answers close their connections from now on, and every request has its answer by this time.
+    void startDraining(Core::TimePoint endsAt);
     /// Takes no new connections, and refuses what still arrives on the open ones.
     void stopTaking();
     void closeIdleConnections() { server_->closeIdle(); }
@@ -56,6 +56,8 @@
     void onAbandoned(Net::ExchangeId) override;
     void onAnswerCutOff(Net::ExchangeId, std::size_t unsentBytes) override;
     void finish(Net::ExchangeId, Net::HttpResponse const&);
+    /// Calls the function for each exchange; it may end that exchange.
+    void forEachExchange(std::function<void(Exchange&)> const&);
     ServerLoad& loadOf(Fleet::ServerRecord const&);
     RetryShare& retriesOf(Core::PoolName const&);
     bool mayRepeat(Core::PoolName const&);
@@ -82,6 +84,8 @@
     std::map<Fleet::ServerNumber, Fleet::LoadReport::Contact> contacts_;
     std::vector<Fleet::LoadReport::Suspicion> suspicions_;
     bool isTaking_ { true };
+    /// Set while the host stops: no request is kept any longer.
+    std::optional<Core::TimePoint> endsAt_;
     ServerLinks links_;
     std::map<Net::ExchangeId, std::unique_ptr<Exchange>> exchanges_;
     std::unique_ptr<Net::HttpServer> server_;
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -395,7 +395,7 @@
 BOOST_AUTO_TEST_CASE(ADrainingHostAnswersAndClosesItsConnections)
 {
     configure();
-    gateway.startDraining();
+    gateway.startDraining(loop.now() + 6s);
     auto const caller = ask(request("/safe/x", "1"));
     BOOST_TEST(caller->status() == "200");
     BOOST_TEST(headerOf(caller->received(), "Connection") == "close");
@@ -407,7 +407,7 @@
     configure();
     auto const open = ask(request("/safe/x", "1"));
     open->forget();
-    gateway.startDraining();
+    gateway.startDraining(loop.now() + 6s);
     gateway.stopTaking();
     auto const late = connect();
     BOOST_TEST(runUntil(loop, [&] { return late->isEnded(); }));
@@ -418,6 +418,32 @@
     BOOST_TEST(a.requests().size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(AServerGetsNoMoreTimeThanAStoppingHostHas)
+{
+    configure();
+    gateway.startDraining(loop.now() + 2s);
+    ask(request("/unsafe/x", "1", {}, 4000));
+    BOOST_REQUIRE(a.requests().size() == 1);
+    BOOST_TEST(std::stoi(headerOf(a.requests().front(), "Left-Ms")) <= 2000);
+}
+
+BOOST_AUTO_TEST_CASE(AStoppingHostRefusesAtOnceWhatWaitsForAnOwnerBeyondItsEnd)
+{
+    configure();
+    Fleet::ViewUpdate update;
+    update.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 3000 });
+    gateway.apply(update);
+    auto const caller = connect();
+    caller->send(request("/safe/x", "1"));
+    runFor(loop, 100ms);
+    BOOST_REQUIRE(gateway.requestCount() == 1);
+    auto const began = Core::BootClock::now();
+    gateway.startDraining(loop.now() + 2s);
+    caller->waitForAnswer();
+    BOOST_TEST(caller->status() == "503");
+    BOOST_TEST((Core::BootClock::now() - began < soonBeforeDeadline));
+}
+
 BOOST_AUTO_TEST_CASE(ARequestThatIsCutOffIsNamedInTheLog)
 {
     configure();
