Keep connections open during a stop while an answer is being sent

What callers see: an answer that breaks off when its entry host is stopped.

Cause: HttpServer::closeIdle took a connection for idle once its answer had been handed to the stream, also while bytes of it waited in this process because the caller's side of the link was full. A stopping entry host closes idle connections every 50 ms.

Evidence: AConnectionWhoseAnswerIsStillBeingSentIsNotIdle, 32 MB to a caller that reads slowly: 2.8 MB arrived before the connection ended. It passes now. AnAnswerThatIsCutOffIsReported checks the event that such a loss leaves.

Why this works: a connection with pending bytes is not idle; the stop looks again every 50 ms until it is or until the grace ends.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -65,7 +65,10 @@
         stream_.close();
     }
 
-    bool isIdle() { return phase_ == Phase::Head && !hasStarted_ && stream_.input().isEmpty(); }
+    bool isIdle()
+    {
+        return phase_ == Phase::Head && !hasStarted_ && stream_.input().isEmpty() && stream_.pendingBytes() == 0;
+    }
 
     void respond(std::uint64_t exchange, HttpResponse const& response)
     {
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -69,7 +69,7 @@
     void startDraining() { isDraining_ = true; }
     /// New connections are reset from now on.
     void stopListening() { listener_.reset(); }
-    /// Closes connections that wait for no answer and have sent nothing of a request.
+    /// Closes connections that have their answers whole and have sent nothing of another request.
     void closeIdle();
     /// Closes every connection at once. Only what the kernel has taken is still sent.
     void closeAll();
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -39,18 +39,66 @@
         if (isSilent)
             return;
         Net::HttpResponse response;
-        response.body = request.head.method + request.head.target + request.body;
+        response.body = body.empty() ? request.head.method + request.head.target + request.body : body;
         server->respond(id, response);
     }
     void onAbandoned(Net::ExchangeId) override { ++abandoned; }
+    void onAnswerCutOff(Net::ExchangeId, std::size_t) override { ++cutOff; }
 
     Net::HttpServer* server { nullptr };
     bool isSilent { false };
+    /// Of every answer, unless empty.
+    std::string body;
     int requests { 0 };
     int abandoned { 0 };
+    int cutOff { 0 };
     Net::ExchangeId last;
 };
 
+/// A caller behind a slow link: nothing is read until `readAnswer`.
+class SlowCaller {
+public:
+    explicit SlowCaller(Core::Endpoint const& server)
+        : fd_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        constexpr int bufferBytes = 4096;
+        ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &bufferBytes, sizeof bufferBytes);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(server.port);
+        BOOST_REQUIRE(::connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+        constexpr std::string_view request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        BOOST_REQUIRE(::send(fd_, request.data(), request.size(), 0) > 0);
+    }
+    ~SlowCaller() { ::close(fd_); }
+    SlowCaller(SlowCaller const&) = delete;
+    SlowCaller& operator=(SlowCaller const&) = delete;
+
+    /// Whether a head and a body of this size arrive before the connection ends.
+    bool readAnswer(Net::EventLoop& loop, std::size_t bodyBytes)
+    {
+        std::vector<char> buffer(1UL << 20);
+        std::string received;
+        auto const isComplete = [&] {
+            auto const headEnd = received.find("\r\n\r\n");
+            return headEnd != std::string::npos && received.size() == headEnd + 4 + bodyBytes;
+        };
+        bool isEnded = false;
+        auto const receive = [&] {
+            ssize_t count = 0;
+            while ((count = ::recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0)
+                received.append(buffer.data(), static_cast<std::size_t>(count));
+            isEnded = count == 0;
+            return isEnded || isComplete();
+        };
+        return runUntil(loop, receive, 10s) && isComplete();
+    }
+
+private:
+    int fd_;
+};
+
 struct Fixture {
     Fixture()
         : address { "127.0.0.1", freePort() }
@@ -160,6 +208,27 @@
     BOOST_TEST(receives(peer, "Connection: close"));
 }
 
+BOOST_AUTO_TEST_CASE(AConnectionWhoseAnswerIsStillBeingSentIsNotIdle)
+{
+    echo.body.assign(32UL << 20, 'a');
+    SlowCaller caller(address);
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 1; }));
+    server->closeIdle();
+    BOOST_TEST(caller.readAnswer(loop, echo.body.size()));
+    server->closeIdle();
+    BOOST_TEST(server->connectionCount() == 0);
+    BOOST_TEST(echo.cutOff == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsCutOffIsReported)
+{
+    echo.body.assign(32UL << 20, 'a');
+    SlowCaller const caller(address);
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 1; }));
+    server->closeAll();
+    BOOST_TEST(echo.cutOff == 1);
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerToHeadHasNoBody)
 {
     Peer peer(loop, address);
