Let the last answer of a connection be sent before it is closed

What callers see: the last answer on a connection breaks off after one second if the caller's side of the link takes longer to take it, mostly while an entry host is stopped, when every answer closes its connection.

Cause: after its last answer a connection lingers for one second, for the rest of a refused request to arrive, and is then closed, whether or not the kernel has taken the answer.

Evidence: AnAnswerThatTheCallerReadsSlowlyIsNotCutOffByTheClose, 32 MB to a caller that reads nothing for 1.5 s, failed (2.8 MB arrived, AnswerCutOff reported once) and passes now.

Why this works: the linger time starts again while bytes are pending, at most for the idle timeout of the operator's limits.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -17,7 +17,8 @@
 
     /// Decoded at once from the input.
     constexpr std::size_t bodyChunkBytes = 16UL * 1024;
-    /// How long the rest of a refused request may take to arrive before its connection is closed.
+    /// How long the rest of a refused request may take to arrive, once the answer is sent, before the connection is
+    /// closed.
     constexpr Core::Duration lingerTimeout = std::chrono::seconds(1);
 
     bool mayHaveBody(std::uint16_t status) { return status != statusNoContent && status != statusNotModified; }
@@ -207,6 +208,7 @@
     void linger()
     {
         phase_ = Phase::Lingering;
+        lingersUntil_ = server_.loop_.now() + server_.limits_.idleTimeout;
         stream_.resume();
         stream_.input().consume(stream_.input().view().size());
         // Closing with unread bytes would reset the connection and might take the answer with it.
@@ -245,6 +247,10 @@
             refuse(statusRequestTimeout);
             return;
         }
+        if (phase_ == Phase::Lingering && stream_.pendingBytes() > 0 && server_.loop_.now() < lingersUntil_) {
+            restartTimer(lingerTimeout);
+            return;
+        }
         server_.drop(id_);
     }
 
@@ -261,6 +267,8 @@
     std::string body_;
     /// Size of the body that was handed over and is not answered yet.
     std::size_t heldBytes_ { 0 };
+    /// A caller that takes longer for the last answer does not get it whole.
+    Core::TimePoint lingersUntil_;
     EventLoop::TimerId timer_;
 };
 
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -208,6 +208,18 @@
     BOOST_TEST(receives(peer, "Connection: close"));
 }
 
+BOOST_AUTO_TEST_CASE(AnAnswerThatTheCallerReadsSlowlyIsNotCutOffByTheClose)
+{
+    // More than the kernel takes.
+    echo.body.assign(32UL << 20, 'a');
+    server->startDraining();
+    SlowCaller caller(address);
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 1; }));
+    runFor(loop, 1500ms);
+    BOOST_TEST(caller.readAnswer(loop, echo.body.size()));
+    BOOST_TEST(echo.cutOff == 0);
+}
+
 BOOST_AUTO_TEST_CASE(AConnectionWhoseAnswerIsStillBeingSentIsNotIdle)
 {
     echo.body.assign(32UL << 20, 'a');
