Refuse as not run an upload of which no byte was sent by its deadline

What callers see: an upload that waits for the host's link behind others until its time is over, or until the host stops, ends with 504. It may not be repeated then, although no server had any of it.

Cause: Exchange took a request for being at a server from the moment at which it was given to a connection; the body waits there for the connection to settle and for its turn on the link.

Evidence: AnUploadOfWhichNothingWasSentIsNotSaidToHaveRun, two uploads of 200 KB over a link of 20 KB/s at a host that stops: the second ended with 504, with no request at the server. It ends with 503 now; the first, partly sent, still with 504.

Why this works: HttpClient knows whether the kernel took a part of the request. Before that, closing the connection takes it back.

--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -432,8 +432,12 @@
     }
     if (auto const* const server = gateway_.view_.findServer(server_))
         gateway_.loadOf(server->record).onDone();
+    auto const hasBegunToSend = ServerLinks::hasBegunToSend(*link_);
     gateway_.links_.abandon(std::exchange(link_, nullptr));
-    fail(statusGatewayTimeout, reason);
+    if (hasBegunToSend)
+        fail(statusGatewayTimeout, reason);
+    else
+        refuse(reason, defaultRetryAfter);
 }
 
 void Exchange::abandon()
--- a/Libraries/LibGateway/ServerLinks.cpp
+++ b/Libraries/LibGateway/ServerLinks.cpp
@@ -51,6 +51,7 @@
     void detach() { user_ = nullptr; }
 
     Fleet::ServerNumber number() const { return number_; }
+    bool hasBegunToSend() const { return client_.hasBegunToSend(); }
     std::size_t unsentBytes() const { return client_.unsentBytes(); }
     bool mayBeUsed(Core::TimePoint now, Core::Duration limit) const
     {
@@ -136,6 +137,8 @@
     release(*link, false);
 }
 
+bool ServerLinks::hasBegunToSend(ServerLink const& link) { return link.hasBegunToSend(); }
+
 std::size_t ServerLinks::unsentBytes(ServerLink const& link) { return link.unsentBytes(); }
 
 void ServerLinks::release(ServerLink& link, bool isReusable)
--- a/Libraries/LibGateway/ServerLinks.h
+++ b/Libraries/LibGateway/ServerLinks.h
@@ -38,6 +38,8 @@
     ServerLink* send(Fleet::ServerRecord const&, OutgoingRequest const&, std::size_t maxConnections, LinkUser&);
     /// Closes the connection, by which the server learns that the caller has left.
     void abandon(ServerLink*);
+    /// Whether the server may have a part of the link's request.
+    static bool hasBegunToSend(ServerLink const&);
     /// Bytes of the link's request that the network has not taken.
     static std::size_t unsentBytes(ServerLink const&);
     /// Closes the idle connections of a server that is no longer part of the fleet.
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -98,6 +98,7 @@
     body_.clear();
     unsent_ = bytes;
     unsentBegin_ = 0;
+    requestBytes_ = bytes.size();
     if (isSettled_)
         sendMore();
 }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -65,6 +65,8 @@
     /// Sends a request. `expectsNoBody` for the method HEAD.
     void send(std::string_view bytes, bool expectsNoBody);
     bool isBusy() const { return isBusy_; }
+    /// Whether the kernel has taken a part of the request. Until then the server has none of it.
+    bool hasBegunToSend() const { return unsentBytes() < requestBytes_; }
     /// Bytes of the request that wait for the connection or the pacer, or that the kernel has not taken.
     std::size_t unsentBytes() const { return unsent_.size() - unsentBegin_ + stream_.pendingBytes(); }
     /// The server keeps the connection open and nothing unexpected arrived on it.
@@ -93,6 +95,7 @@
     bool isSettled_ { false };
     std::string unsent_;
     std::size_t unsentBegin_ { 0 };
+    std::size_t requestBytes_ { 0 };
     /// For the settle time, and for the next piece of a large body.
     EventLoop::TimerId sendTimer_;
     bool isBusy_ { false };
--- a/Tests/LibGateway/TestEntryHost.cpp
+++ b/Tests/LibGateway/TestEntryHost.cpp
@@ -81,4 +81,21 @@
     BOOST_TEST(caller.status() == "504");
 }
 
+BOOST_AUTO_TEST_CASE(AnUploadOfWhichNothingWasSentIsNotSaidToHaveRun)
+{
+    // The first one takes the host's link for longer than the stop lasts.
+    std::string const body(200'000, 'b');
+    Caller first(loop, address);
+    first.send(request("/scan/x", "1", body, 8000));
+    runFor(loop, 100ms);
+    Caller second(loop, address);
+    second.send(request("/scan/x", "2", body, 8000));
+    runFor(loop, 100ms);
+    BOOST_REQUIRE(host->gateway().requestCount() == 2);
+    stop();
+    BOOST_TEST(server.requests().empty());
+    BOOST_TEST(first.status() == "504");
+    BOOST_TEST(second.status() == "503");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
