Give up on a server that sends messages other than the answer without end

What callers see: a request at a server that sends informational answers or answers to other requests without end is held until its deadline, and its connection keeps the processor and the link of the entry host busy meanwhile.

Cause: HttpClient skipped such messages without a bound, and looked at the head of an answer to another request only after its whole body.

Evidence: InformationalAnswersWithoutEndAreGivenUp and AnswersToOtherRequestsWithoutEndAreGivenUp failed (no end within 3 s), and pass. Bytes that are no head, heads, bodies, chunk headers and trailers without end were bounded already; each has a test now.

Why this works: the ninth message that is skipped ends the exchange as malformed and closes the connection; what the server may have run stays unknown. A sound server sends one or two.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -9,6 +9,9 @@
 
     constexpr std::size_t bodyChunkBytes = 16UL * 1024;
     constexpr std::uint16_t firstFinalStatus = 200;
+    /// Messages before the answer that are skipped. A server in trouble may send them without end; a sound one sends an
+    /// informational answer or two, or the late answer to an earlier request.
+    constexpr std::uint32_t maxSkipped = 8;
 
     /// The value of `timeout` in a `Keep-Alive` header, in whole seconds.
     std::optional<Core::Duration> parseKeepAlive(std::string_view value)
@@ -95,6 +98,7 @@
     lastUsed_ = loop_.now();
     reader_ = std::nullopt;
     hasHead_ = false;
+    skipped_ = 0;
     body_.clear();
     unsent_ = bytes;
     unsentBegin_ = 0;
@@ -121,24 +125,35 @@
     }
 }
 
-/// Reads one message as far as it has arrived. False when more input is needed or the exchange has failed.
-bool HttpClient::readAnswer()
+bool HttpClient::readHead()
 {
     if (!reader_) {
         reader_.emplace(Proxy::MessageKind::Response, settings_.maxHeadBytes);
         if (expectsNoBody_)
             reader_->expectNoBody();
     }
-    if (!hasHead_) {
-        auto const isComplete = reader_->readHead(stream_.input());
-        if (isComplete.isError()) {
-            fail(ExchangeFailure::Malformed);
-            return false;
-        }
-        if (!isComplete.value())
-            return false;
-        hasHead_ = true;
+    auto const isComplete = reader_->readHead(stream_.input());
+    if (isComplete.isError()) {
+        fail(ExchangeFailure::Malformed);
+        return false;
+    }
+    if (!isComplete.value())
+        return false;
+    hasHead_ = true;
+    auto const& head = reader_->head();
+    isSkipping_ = head.status < firstFinalStatus || !handler_.isExpected(*this, head);
+    if (isSkipping_ && ++skipped_ > maxSkipped) {
+        fail(ExchangeFailure::Malformed);
+        return false;
     }
+    return true;
+}
+
+/// Reads one message as far as it has arrived. False when more input is needed or the exchange has failed.
+bool HttpClient::readAnswer()
+{
+    if (!hasHead_ && !readHead())
+        return false;
     std::array<char, bodyChunkBytes> chunk {};
     while (!reader_->isDone()) {
         auto const produced = reader_->readBody(stream_.input(), chunk);
@@ -171,7 +186,7 @@
     if (answer.head.status < firstFinalStatus)
         return;
     noteKeepAlive(answer.head);
-    if (!handler_.isExpected(*this, answer.head)) {
+    if (isSkipping_) {
         // The next message answers the request. The connection has lost its order, so it is not used again.
         isReusable_ = false;
         return;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -35,7 +35,7 @@
 class HttpClientHandler {
 public:
     virtual ~HttpClientHandler() = default;
-    /// A whole message arrived. True if it answers the request that waits; false for another one, which is skipped.
+    /// The head of a message arrived. True if it answers the request that waits; false for another one, which is skipped.
     virtual bool isExpected(HttpClient&, Proxy::MessageHead const&) = 0;
     /// The connection can carry another request if `HttpClient::isReusable`.
     virtual void onAnswer(HttpClient&, HttpAnswer) = 0;
@@ -83,6 +83,8 @@
     /// Hands over as much of the request as the pacer allows, and goes on later with the rest.
     void sendMore();
     bool readAnswer();
+    /// False when more input is needed or the exchange has failed.
+    bool readHead();
     void finishAnswer();
     void fail(ExchangeFailure);
     void noteKeepAlive(Proxy::MessageHead const&);
@@ -102,6 +104,9 @@
     bool isReusable_ { true };
     bool expectsNoBody_ { false };
     bool hasHead_ { false };
+    /// The message that is being read is informational, or answers another request.
+    bool isSkipping_ { false };
+    std::uint32_t skipped_ { 0 };
     std::optional<Proxy::MessageReader> reader_;
     std::string body_;
     std::optional<Core::Duration> idleTimeout_;
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -1,4 +1,4 @@
-#include "../Support/Loopback.h"
+#include "../Support/EndlessServer.h"
 
 #include <LibNet/HttpClient.h>
 
@@ -40,17 +40,23 @@
 
 class AnswerReceiver final : public HttpClientHandler {
 public:
-    bool isExpected(HttpClient&, Proxy::MessageHead const&) override { return true; }
+    bool isExpected(HttpClient&, Proxy::MessageHead const&) override { return isForThisRequest; }
     void onAnswer(HttpClient& client, HttpAnswer) override
     {
         ++answers;
         isReusable = client.isReusable();
     }
-    void onFailure(HttpClient&, ExchangeFailure) override { ++failures; }
+    void onFailure(HttpClient&, ExchangeFailure reason) override
+    {
+        ++failures;
+        failure = reason;
+    }
     void onIdleEnd(HttpClient&) override { }
 
+    bool isForThisRequest { true };
     int answers { 0 };
     int failures { 0 };
+    std::optional<ExchangeFailure> failure;
     bool isReusable { false };
 };
 
@@ -60,6 +66,28 @@
         + std::string(bodyBytes, 'b');
 }
 
+/// Far less than the time that a caller has.
+constexpr Core::Duration soon = 3s;
+
+/// Asks a server that does not stop sending, and expects that the client gives up by itself and closes the connection.
+struct EndlessFixture {
+    void ask(std::string beginning, std::string repeated)
+    {
+        EndlessServer server(loop, std::move(beginning), std::move(repeated));
+        HttpClient client(loop, receiver, server.address, settings);
+        client.send(requestOf(10), false);
+        BOOST_TEST(runUntil(
+            loop, [&] { return receiver.failures == 1; }, soon));
+        BOOST_TEST(runUntil(
+            loop, [&] { return server.closed == 1; }, soon));
+        BOOST_TEST(receiver.answers == 0);
+    }
+
+    EventLoop loop;
+    AnswerReceiver receiver;
+    HttpClientSettings settings;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(AConnectionWhoseBodyWasCutShortByAnEarlyAnswerIsNotUsedAgain)
@@ -100,3 +128,56 @@
     BOOST_TEST(server.received == small.size());
     BOOST_TEST(receiver.failures == 0);
 }
+
+BOOST_FIXTURE_TEST_SUITE(EndlessAnswers, EndlessFixture)
+
+BOOST_AUTO_TEST_CASE(BytesThatAreNoHeadAreGivenUp)
+{
+    ask("", "x");
+    BOOST_TEST((receiver.failure == ExchangeFailure::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(AHeadWithoutEndIsGivenUp)
+{
+    ask("HTTP/1.1 200 OK\r\n", "Field: value\r\n");
+    BOOST_TEST((receiver.failure == ExchangeFailure::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(InformationalAnswersWithoutEndAreGivenUp)
+{
+    ask("", "HTTP/1.1 100 Continue\r\n\r\n");
+    BOOST_TEST((receiver.failure == ExchangeFailure::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(AnswersToOtherRequestsWithoutEndAreGivenUp)
+{
+    receiver.isForThisRequest = false;
+    ask("", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    BOOST_TEST((receiver.failure == ExchangeFailure::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(ABodyWithoutLengthOrEndIsGivenUp)
+{
+    ask("HTTP/1.1 200 OK\r\n\r\n", "x");
+    BOOST_TEST((receiver.failure == ExchangeFailure::AnswerTooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(ABodyOfChunksWithoutEndIsGivenUp)
+{
+    ask("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\n01234567\r\n");
+    BOOST_TEST((receiver.failure == ExchangeFailure::AnswerTooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(AChunkHeaderWithoutEndIsGivenUp)
+{
+    ask("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8;", "x");
+    BOOST_TEST((receiver.failure == ExchangeFailure::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(TrailersWithoutEndAreGivenUp)
+{
+    ask("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Field: value\r\n");
+    BOOST_TEST((receiver.failure == ExchangeFailure::Malformed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
