Refuse an answer that is announced as too large before its body arrives

What callers see: an answer whose Content-Length is beyond the 16 MiB that an entry host holds fills memory and link with 16 MiB before it is given up, or holds its request until the deadline if the body does not come.

Cause: HttpClient compared only the bytes that had arrived with the bound.

Evidence: ABodyThatIsAnnouncedTooLargeIsGivenUpBeforeItArrives failed (no end within 3 s) and passes.

Why this works: the length is checked with the head; such an answer could never have been passed on.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -146,6 +146,10 @@
         fail(ExchangeFailure::Malformed);
         return false;
     }
+    if (!expectsNoBody_ && head.contentLength.value_or(0) > settings_.maxBodyBytes) {
+        fail(ExchangeFailure::AnswerTooLarge);
+        return false;
+    }
     return true;
 }
 
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -180,4 +180,11 @@
     BOOST_TEST((receiver.failure == ExchangeFailure::Malformed));
 }
 
+BOOST_AUTO_TEST_CASE(ABodyThatIsAnnouncedTooLargeIsGivenUpBeforeItArrives)
+{
+    // Nothing follows the head.
+    ask("HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", {});
+    BOOST_TEST((receiver.failure == ExchangeFailure::AnswerTooLarge));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
