Bound the memory of all answers that an entry host reads together

What callers see: a dozen servers whose bodies do not end take all the memory of an entry host; its process is killed, and every request that it holds is lost.

Cause: each answer was bounded (16 MiB), all together were not; hosts have 160 to 260 MB. docs/platform.md said that requests and answers stay below 96 MiB together, but only request bodies were counted.

Evidence: BodiesWithoutEndLeaveMemoryForOtherAnswers, twelve servers that send without end: 201 MB held at a time before (16 MiB each), at most 24 MiB now; a sound server's answer arrives whole meanwhile, and the twelve requests end with 502.

Why this works: AnswerBudget counts what all connections hold. At the bound the largest answer gives way, which is the one without end, as sound answers are small.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -44,6 +44,8 @@
     void closeIdleConnections() { server_->closeIdle(); }
     std::size_t connectionCount() const { return server_ ? server_->connectionCount() : 0; }
     std::size_t requestCount() const { return exchanges_.size(); }
+    /// Memory of the answers that are being read from servers.
+    std::size_t heldAnswerBytes() const { return links_.heldAnswerBytes(); }
     /// Closes all connections, and logs each request and answer that this cuts off.
     void closeAll();
     /// Arrivals, latencies and suspicions since the last report.
--- a/Libraries/LibGateway/ServerLinks.cpp
+++ b/Libraries/LibGateway/ServerLinks.cpp
@@ -18,10 +18,14 @@
     /// between failure domains.
     constexpr Core::Duration settleTime = std::chrono::milliseconds(3);
 
-    Net::HttpClientSettings linkSettings(Net::BulkPacer& pacer)
+    /// For all answers that are being read. A host may have 160 MB, of which request bodies take up to 96 MiB.
+    constexpr std::size_t maxAnswerBytes = 24UL * 1024 * 1024;
+
+    Net::HttpClientSettings linkSettings(Net::BulkPacer& pacer, Net::AnswerBudget& budget)
     {
         Net::HttpClientSettings settings;
         settings.pacer = &pacer;
+        settings.budget = &budget;
         // A connection to a host in the same region takes a few milliseconds; one lost packet costs a second.
         settings.stream.silenceTimeout = std::chrono::milliseconds(1500);
         settings.settleTime = settleTime;
@@ -33,12 +37,12 @@
 /// One connection to a backend server.
 class ServerLink final : private Net::HttpClientHandler, public Net::Reclaimable {
 public:
-    ServerLink(Net::EventLoop& loop, ServerLinks& links, RequestCodec const& codec, Net::BulkPacer& pacer,
-        Fleet::ServerRecord const& server)
+    ServerLink(Net::EventLoop& loop, ServerLinks& links, RequestCodec const& codec,
+        Net::HttpClientSettings const& settings, Fleet::ServerRecord const& server)
         : links_(links)
         , codec_(codec)
         , number_(server.number)
-        , client_(loop, *this, server.address, linkSettings(pacer))
+        , client_(loop, *this, server.address, settings)
     {
     }
 
@@ -97,6 +101,7 @@
     : loop_(loop)
     , codec_(codec)
     , pacer_(linkBytesPerSecond)
+    , budget_(maxAnswerBytes)
 {
     dropExpired();
 }
@@ -123,7 +128,7 @@
             loop_.reclaim(std::move(server.idle.front()));
             server.idle.erase(server.idle.begin());
         }
-        link = std::make_unique<ServerLink>(loop_, *this, codec_, pacer_, record);
+        link = std::make_unique<ServerLink>(loop_, *this, codec_, linkSettings(pacer_, budget_), record);
     }
     server.busy.push_back(std::move(link));
     auto* const started = server.busy.back().get();
--- a/Libraries/LibGateway/ServerLinks.h
+++ b/Libraries/LibGateway/ServerLinks.h
@@ -42,6 +42,8 @@
     static bool hasBegunToSend(ServerLink const&);
     /// Bytes of the link's request that the network has not taken.
     static std::size_t unsentBytes(ServerLink const&);
+    /// Memory of the answers that are being read.
+    std::size_t heldAnswerBytes() const { return budget_.heldBytes(); }
     /// Closes the idle connections of a server that is no longer part of the fleet.
     void forget(Fleet::ServerNumber);
 
@@ -59,6 +61,7 @@
     Net::EventLoop& loop_;
     RequestCodec const& codec_;
     Net::BulkPacer pacer_;
+    Net::AnswerBudget budget_;
     std::map<Fleet::ServerNumber, Server> servers_;
     Net::EventLoop::TimerId timer_;
 };
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -60,7 +60,11 @@
 {
 }
 
-HttpClient::~HttpClient() { loop_.cancel(sendTimer_); }
+HttpClient::~HttpClient()
+{
+    loop_.cancel(sendTimer_);
+    dropBody();
+}
 
 void HttpClient::onConnected(Stream&)
 {
@@ -99,7 +103,6 @@
     reader_ = std::nullopt;
     hasHead_ = false;
     skipped_ = 0;
-    body_.clear();
     unsent_ = bytes;
     unsentBegin_ = 0;
     requestBytes_ = bytes.size();
@@ -167,11 +170,8 @@
         }
         if (produced.value() == 0)
             break;
-        body_.append(chunk.data(), produced.value());
-        if (body_.size() > settings_.maxBodyBytes) {
-            fail(ExchangeFailure::AnswerTooLarge);
+        if (!keep({ chunk.data(), produced.value() }))
             return false;
-        }
     }
     if (!reader_->isDone()) {
         stream_.resume();
@@ -181,10 +181,29 @@
     return true;
 }
 
+bool HttpClient::keep(std::string_view piece)
+{
+    if (body_.size() + piece.size() > settings_.maxBodyBytes) {
+        fail(ExchangeFailure::AnswerTooLarge);
+        return false;
+    }
+    body_.append(piece);
+    if (auto* const largest = settings_.budget ? settings_.budget->hold(*this, body_.capacity()) : nullptr)
+        largest->fail(ExchangeFailure::AnswerTooLarge);
+    return isBusy_;
+}
+
+void HttpClient::dropBody()
+{
+    body_ = {};
+    if (settings_.budget)
+        settings_.budget->release(*this);
+}
+
 void HttpClient::finishAnswer()
 {
     HttpAnswer answer { reader_->head(), std::move(body_) };
-    body_.clear();
+    dropBody();
     reader_ = std::nullopt;
     hasHead_ = false;
     if (answer.head.status < firstFinalStatus)
@@ -216,6 +235,7 @@
     isReusable_ = false;
     isBusy_ = false;
     loop_.cancel(sendTimer_);
+    dropBody();
     stream_.close();
     handler_.onFailure(*this, failure);
 }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibNet/AnswerBudget.h>
 #include <LibNet/BulkPacer.h>
 #include <LibNet/Stream.h>
 #include <LibProxy/HttpMessage.h>
@@ -35,7 +36,8 @@
 class HttpClientHandler {
 public:
     virtual ~HttpClientHandler() = default;
-    /// The head of a message arrived. True if it answers the request that waits; false for another one, which is skipped.
+    /// The head of a message arrived. True if it answers the request that waits; false for another one, which is
+    /// skipped.
     virtual bool isExpected(HttpClient&, Proxy::MessageHead const&) = 0;
     /// The connection can carry another request if `HttpClient::isReusable`.
     virtual void onAnswer(HttpClient&, HttpAnswer) = 0;
@@ -54,6 +56,8 @@
     Core::Duration settleTime {};
     /// Shared by all connections over the same link. Null if large bodies are not held up.
     BulkPacer* pacer { nullptr };
+    /// Shared by all connections of the process. Null if only each answer is bounded.
+    AnswerBudget* budget { nullptr };
 };
 
 /// A connection to a server for one request at a time.
@@ -85,6 +89,9 @@
     bool readAnswer();
     /// False when more input is needed or the exchange has failed.
     bool readHead();
+    /// Keeps a piece of the body. False if the exchange has failed.
+    bool keep(std::string_view piece);
+    void dropBody();
     void finishAnswer();
     void fail(ExchangeFailure);
     void noteKeepAlive(Proxy::MessageHead const&);
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -1,3 +1,4 @@
+#include "../Support/EndlessServer.h"
 #include "../Support/TemporaryFolder.h"
 #include "FakeServers.h"
 
@@ -444,6 +445,47 @@
     BOOST_TEST((Core::BootClock::now() - began < soonBeforeDeadline));
 }
 
+// Bodies without end from a dozen servers needed more memory than a host has, and its process was killed.
+BOOST_AUTO_TEST_CASE(BodiesWithoutEndLeaveMemoryForOtherAnswers)
+{
+    constexpr std::size_t endlessServers = 12;
+    constexpr std::size_t maxHeldBytes = 24UL << 20;
+    configure();
+    std::vector<std::unique_ptr<EndlessServer>> servers;
+    Fleet::ViewUpdate update;
+    for (std::size_t i = 0; i < endlessServers; ++i) {
+        servers.push_back(std::make_unique<EndlessServer>(loop, "HTTP/1.1 200 OK\r\nAttempt: {id}\r\n\r\n", "x"));
+        Core::PoolName const name { "endless-" + std::to_string(i) };
+        auto row = server(static_cast<Fleet::ServerNumber>(10 + i), b, name);
+        row.server.address = servers.back()->address;
+        update.servers.push_back(row);
+        update.pools.push_back({ name.value, { 1, pool(name, false) } });
+        add(update, route(name.value, "/" + name.value + "/", Fleet::RequestKind::Unsafe, name));
+    }
+    gateway.apply(update);
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (std::size_t i = 0; i < endlessServers; ++i) {
+        callers.push_back(connect());
+        callers.back()->send(request("/endless-" + std::to_string(i) + "/x", "e" + std::to_string(i)));
+    }
+    std::string const body(500'000, 'b');
+    a.setScript(answering("200 OK", body));
+    auto const sound = connect();
+    std::size_t held = 0;
+    bool isSoundSent = false;
+    auto const allEnded = [&] {
+        held = std::max(held, gateway.heldAnswerBytes());
+        if (!isSoundSent && held > maxHeldBytes / 2) {
+            sound->send(request("/safe/x", "sound"));
+            isSoundSent = true;
+        }
+        return std::ranges::all_of(callers, [](auto const& caller) { return caller->status() == "502"; });
+    };
+    BOOST_TEST(runUntil(loop, allEnded, 10s));
+    BOOST_TEST(held <= maxHeldBytes);
+    BOOST_TEST(runUntil(loop, [&] { return sound->received().ends_with(body); }));
+}
+
 BOOST_AUTO_TEST_CASE(ARequestThatIsCutOffIsNamedInTheLog)
 {
     configure();
