--- a/Tests/LibGateway/FakeLeader.h
+++ b/Tests/LibGateway/FakeLeader.h
@@ -31,6 +31,9 @@
 private:
     void onFrame(Net::FrameChannel& channel, std::string_view frame) override
     {
+        // Load reports are not looked at.
+        if (frame.front() != static_cast<char>(ControlHost::FrameType::Hello))
+            return;
         auto const hello = Fleet::decode<ControlHost::Hello>(frame.substr(1));
         BOOST_REQUIRE(hello.has_value());
         hellos.push_back(*hello);
--- a/Tests/LibGateway/FakeServers.cpp
+++ b/Tests/LibGateway/FakeServers.cpp
@@ -56,7 +56,11 @@
         auto const request = buffer_.substr(0, total);
         buffer_.erase(0, total);
         server_.requests_.push_back(request);
-        react(server_.script_(request));
+        auto const reaction = server_.script_(request);
+        if (reaction.after == Core::Duration::zero())
+            react(reaction);
+        else
+            server_.loop_.after(reaction.after, [this, reaction] { react(reaction); });
     }
 
     void react(Reaction const& reaction)
--- a/Tests/LibGateway/FakeServers.h
+++ b/Tests/LibGateway/FakeServers.h
@@ -30,6 +30,7 @@
     struct Reaction {
         std::string bytes;
         enum class Then : std::uint8_t { Keep, Close, Reset } then { Then::Keep };
+        Core::Duration after {};
     };
     using Script = std::function<Reaction(std::string const& request)>;
 
