End a stopped process without waiting for threads of the log library

What operators and callers see: a stopped entry or control host writes ProcessStopped and does not end. It is killed at the end of its grace and back 6.6 s after SIGTERM instead of 3 to 4.5 s, so a rolling stop takes capacity away for longer.

Cause: log4cplus starts a thread pool of its own when it is loaded, and joins it in a static destructor; on the users' platform the join does not return.

Why this works: the roles have destroyed all that they own when Platform::run returns; Core::endProcess then writes out the standard streams and ends the process without static destructors.

--- a/Services/Daemon/Main.cpp
+++ b/Services/Daemon/Main.cpp
@@ -1,5 +1,7 @@
 #include "Daemon.h"
 
+#include <LibCore/Process.h>
+
 #include <cxxopts.hpp>
 #include <platform/Roles.h>
 
@@ -97,7 +99,7 @@
     if (line.exitCode)
         return *line.exitCode;
     if (!line.platformRole.empty())
-        return Platform::run(line.platformRole);
+        Core::endProcess(Platform::run(line.platformRole));
     auto const settings = Config::loadDaemonSettings(line.settings);
     if (settings.isError()) {
         for (auto const& error : settings.error())
