--- a/Tests/LibGateway/FakeLeader.h
+++ b/Tests/LibGateway/FakeLeader.h
@@ -4,6 +4,7 @@
 
 #include <LibControlHost/Frames.h>
 #include <LibFleet/View.h>
+#include <LibGateway/EntryHost.h>
 
 #include <boost/test/unit_test.hpp>
 
@@ -52,4 +53,19 @@
     std::unique_ptr<Net::Listener> listener_;
 };
 
+/// Of an entry host that finds this leader.
+inline Gateway::EntryHostSettings entryHostSettings(
+    FakeLeader const& leader, Core::Duration grace, double linkBytesPerSecond)
+{
+    Gateway::EntryHostSettings settings;
+    settings.name = "entry";
+    settings.callers = { "127.0.0.1", freePort() };
+    settings.controlHosts = { leader.address };
+    settings.stopGrace = grace;
+    settings.gateway.name = "entry";
+    settings.gateway.retries = { 0.2, 200, 10s };
+    settings.gateway.linkBytesPerSecond = linkBytesPerSecond;
+    return settings;
+}
+
 } // namespace TestGateway
--- a/Tests/LibGateway/TestEntryHost.cpp
+++ b/Tests/LibGateway/TestEntryHost.cpp
@@ -26,14 +26,7 @@
         leader.view.pools = { { scans.value, { 1, pool(scans, false) } } };
         leader.view.servers = { TestGateway::server(1, server, scans) };
         leader.view.entryHosts = { "entry" };
-        Gateway::EntryHostSettings settings;
-        settings.name = "entry";
-        settings.callers = { "127.0.0.1", freePort() };
-        settings.controlHosts = { leader.address };
-        settings.stopGrace = grace;
-        settings.gateway.name = "entry";
-        settings.gateway.retries = { 0.2, 200, 10s };
-        settings.gateway.linkBytesPerSecond = linkBytesPerSecond;
+        auto const settings = entryHostSettings(leader, grace, linkBytesPerSecond);
         host = std::make_unique<Gateway::EntryHost>(loop, *events, metrics, codec, settings);
         BOOST_REQUIRE(host->listen());
         BOOST_REQUIRE(runUntil(loop, [&] { return host->isReady(); }));
--- a/Tests/LibGateway/TestStopSeeds.cpp
+++ b/Tests/LibGateway/TestStopSeeds.cpp
@@ -89,14 +89,7 @@
         , leader_(loop, 0s)
     {
         fillView();
-        Gateway::EntryHostSettings settings;
-        settings.name = "entry";
-        settings.callers = { "127.0.0.1", freePort() };
-        settings.controlHosts = { leader_.address };
-        settings.stopGrace = grace;
-        settings.gateway.name = "entry";
-        settings.gateway.retries = { 0.2, 200, 10s };
-        settings.gateway.linkBytesPerSecond = random_.unit() < 0.5 ? 0 : 300e3;
+        auto const settings = entryHostSettings(leader_, grace, random_.unit() < 0.5 ? 0 : 300e3);
         host_ = std::make_unique<Gateway::EntryHost>(loop, events, metrics_, codec_, settings);
         BOOST_REQUIRE(host_->listen());
         address_ = settings.callers;
