Send nothing of a request once its exchange has given up its link

What callers see: an unsafe request is answered 503, and its server gets it and runs it all the same (REFUSED). Rare: its connection must come about within a few milliseconds of the deadline and the loop must be late, as both are on a loaded host.

Cause: an abandoned link lives until the end of the turn, and its timers with it. If the settle time of a new connection ended in the turn in which the deadline was noticed, the whole request was written after the refusal.

TestLibGateway and TestLibNet pass.

Why this works: abandoning a link closes its connection and cancels the timer at once instead of with the object.

--- a/Libraries/LibGateway/ServerLinks.cpp
+++ b/Libraries/LibGateway/ServerLinks.cpp
@@ -52,7 +52,12 @@
         attemptId_ = request.attemptId;
         client_.send(request.bytes, request.expectsNoBody);
     }
-    void detach() { user_ = nullptr; }
+    void abandon()
+    {
+        user_ = nullptr;
+        // The object lives until the end of the turn, and the caller may just be told that nothing was sent.
+        client_.close();
+    }
 
     Fleet::ServerNumber number() const { return number_; }
     bool hasBegunToSend() const { return client_.hasBegunToSend(); }
@@ -138,7 +143,7 @@
 
 void ServerLinks::abandon(ServerLink* link)
 {
-    link->detach();
+    link->abandon();
     release(*link, false);
 }
 
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -230,13 +230,18 @@
         idleTimeout_ = parseKeepAlive(*value);
 }
 
-void HttpClient::fail(ExchangeFailure failure)
+void HttpClient::close()
 {
     isReusable_ = false;
     isBusy_ = false;
     loop_.cancel(sendTimer_);
     dropBody();
     stream_.close();
+}
+
+void HttpClient::fail(ExchangeFailure failure)
+{
+    close();
     handler_.onFailure(*this, failure);
 }
 
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -68,6 +68,8 @@
 
     /// Sends a request. `expectsNoBody` for the method HEAD.
     void send(std::string_view bytes, bool expectsNoBody);
+    /// Ends the exchange and the connection without an event. Nothing more is sent, also not in this turn.
+    void close();
     bool isBusy() const { return isBusy_; }
     /// Whether the kernel has taken a part of the request. Until then the server has none of it.
     bool hasBegunToSend() const { return unsentBytes() < requestBytes_; }
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <fstream>
+#include <thread>
 
 using namespace TestGateway;
 using Then = FakeServer::Reaction::Then;
@@ -486,6 +487,42 @@
     BOOST_TEST(runUntil(loop, [&] { return sound->received().ends_with(body); }));
 }
 
+// The connection came about late, and the deadline and the settle time ended in the same turn of a loaded loop: the request
+// was refused as not sent, and was then sent.
+BOOST_AUTO_TEST_CASE(ARequestThatWasRefusedAtItsDeadlineIsNotSentInTheSameTurn)
+{
+    constexpr int attempts = 10;
+    constexpr int leftMs = 120;
+    // When the timer of the deadline is due.
+    constexpr auto deadline = 180ms;
+    constexpr auto nextTurn = 1us;
+    auto const sleepUntil = [](Core::TimePoint time) {
+        std::this_thread::sleep_for(std::max(time - Core::BootClock::now(), Core::Duration::zero()));
+    };
+    configure();
+    a.setScript([](auto const&) { return FakeServer::Reaction {}; });
+    for (int i = 0; i < attempts; ++i) {
+        auto const before = a.requests().size();
+        auto const caller = connect();
+        caller->send(request("/unsafe/x", std::to_string(i), {}, leftMs));
+        std::function<void()> const poll = [&] {
+            if (gateway.requestCount() == 0) {
+                loop.after(nextTurn, poll);
+                return;
+            }
+            auto const began = loop.now();
+            // The next turn sees the connection, just before the deadline.
+            sleepUntil(began + deadline - 1500us);
+            loop.after(nextTurn, [=] { sleepUntil(began + deadline + 20ms); });
+        };
+        poll();
+        caller->waitForAnswer();
+        runFor(loop, 20ms);
+        if (caller->status() == "503")
+            BOOST_TEST(a.requests().size() == before);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ARequestThatIsCutOffIsNamedInTheLog)
 {
     configure();
