Pass on an answer without a body that names a large one

What callers see: a 304 whose Content-Length is beyond 16 MiB ends with 502.

Cause: the announced length is compared with the bound also where no body follows. Only HEAD was excepted.

Evidence: AnAnswerThatHasNoBodyMayNameALargeOne failed and passes; TestLibNet passes.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -149,7 +149,8 @@
         fail(ExchangeFailure::Malformed);
         return false;
     }
-    if (!expectsNoBody_ && head.contentLength.value_or(0) > settings_.maxBodyBytes) {
+    // An answer without a body, to HEAD or 304, may name the length of another one.
+    if (!reader_->isDone() && head.contentLength.value_or(0) > settings_.maxBodyBytes) {
         fail(ExchangeFailure::AnswerTooLarge);
         return false;
     }
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -129,6 +129,18 @@
     BOOST_TEST(receiver.failures == 0);
 }
 
+// RFC 9110 section 8.6: the length is that of the body which an answer to an unconditional request would have.
+BOOST_AUTO_TEST_CASE(AnAnswerThatHasNoBodyMayNameALargeOne)
+{
+    EventLoop loop;
+    EndlessServer server(loop, "HTTP/1.1 304 Not Modified\r\nContent-Length: 20000000\r\n\r\n", {});
+    AnswerReceiver receiver;
+    HttpClient client(loop, receiver, server.address, {});
+    client.send(requestOf(10), false);
+    BOOST_TEST(runUntil(loop, [&] { return receiver.answers + receiver.failures == 1; }));
+    BOOST_TEST(receiver.answers == 1);
+}
+
 BOOST_FIXTURE_TEST_SUITE(EndlessAnswers, EndlessFixture)
 
 BOOST_AUTO_TEST_CASE(BytesThatAreNoHeadAreGivenUp)
