Do not give up a sound answer for memory that it does not use

What callers see: an answer of 13 MB, or one of two answers of 9 MB, ends with 502 though nothing else is being read.

Cause: the budget for all answers counts the capacity of the strings, which doubles as they grow: 12.6 MB become 25.2 MB, more than the 24 MiB for all.

Evidence: AnAnswerThatIsReadAloneIsNotGivenUpForTheMemoryOfAll (13 MB, within the 16 MiB of one answer) failed and passes. TestLibNet and the exchange tests pass.

Why this works: the bytes that were read are counted.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -189,7 +189,8 @@
         return false;
     }
     body_.append(piece);
-    if (auto* const largest = settings_.budget ? settings_.budget->hold(*this, body_.capacity()) : nullptr)
+    // Not its capacity, which is up to twice as much: memory that was never written to is not taken from the host.
+    if (auto* const largest = settings_.budget ? settings_.budget->hold(*this, body_.size()) : nullptr)
         largest->fail(ExchangeFailure::AnswerTooLarge);
     return isBusy_;
 }
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -38,6 +38,47 @@
     std::unique_ptr<Listener> listener_;
 };
 
+/// A server that answers in pieces, with a pause after each.
+class PiecewiseServer final : private StreamHandler {
+public:
+    PiecewiseServer(EventLoop& loop, std::vector<std::string> pieces)
+        : loop_(loop)
+        , pieces_(std::move(pieces))
+        , listener_(Listener::open(loop, address, [this](int fd) {
+            StreamHandler& handler = *this;
+            stream_ = std::make_unique<Stream>(loop_, handler, fd, StreamSettings {});
+        }))
+    {
+    }
+    ~PiecewiseServer() override { loop_.cancel(timer_); }
+    PiecewiseServer(PiecewiseServer const&) = delete;
+    PiecewiseServer& operator=(PiecewiseServer const&) = delete;
+
+    Core::Endpoint const address { "127.0.0.1", freePort() };
+
+private:
+    void onData(Stream& stream) override
+    {
+        stream.input().consume(stream.input().view().size());
+        sendNext(0);
+    }
+    void onEnd(Stream& stream, StreamEnd) override { stream.close(); }
+
+    void sendNext(std::size_t index)
+    {
+        if (index == pieces_.size())
+            return;
+        stream_->write(pieces_[index]);
+        timer_ = loop_.after(20ms, [this, index] { sendNext(index + 1); });
+    }
+
+    EventLoop& loop_;
+    std::vector<std::string> pieces_;
+    std::unique_ptr<Stream> stream_;
+    std::unique_ptr<Listener> listener_;
+    EventLoop::TimerId timer_;
+};
+
 class AnswerReceiver final : public HttpClientHandler {
 public:
     bool isExpected(HttpClient&, Proxy::MessageHead const&) override { return isForThisRequest; }
@@ -141,6 +182,27 @@
     BOOST_TEST(receiver.answers == 1);
 }
 
+// The memory of a body used to double as it grew: 13 MB took more than the 24 MiB for all answers, and the answer was given up.
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsReadAloneIsNotGivenUpForTheMemoryOfAll)
+{
+    EventLoop loop;
+    AnswerBudget budget(24UL << 20);
+    HttpClientSettings settings;
+    settings.budget = &budget;
+    constexpr std::size_t readBytes = 4UL * 1024;
+    constexpr std::size_t bodyBytes = 13'000'000;
+    // Doubled eleven times, these and the next read take a little more than half of the budget.
+    constexpr std::size_t firstBytes = 6150 - readBytes;
+    auto const head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+    PiecewiseServer server(
+        loop, { head + std::string(firstBytes, 'a'), std::string(bodyBytes - firstBytes, 'a') });
+    AnswerReceiver receiver;
+    HttpClient client(loop, receiver, server.address, settings);
+    client.send(requestOf(10), false);
+    BOOST_TEST(runUntil(loop, [&] { return receiver.answers + receiver.failures == 1; }));
+    BOOST_TEST(receiver.answers == 1);
+}
+
 BOOST_FIXTURE_TEST_SUITE(EndlessAnswers, EndlessFixture)
 
 BOOST_AUTO_TEST_CASE(BytesThatAreNoHeadAreGivenUp)
