Let an upload take as long as it goes on arriving, and refuse one that stops

What callers see: an upload that takes longer than the operator's idle timeout (15 s on these sites) is cut off with neither an answer nor a refusal, though its bytes go on arriving; one that stops midway likewise.

Cause: the idle timer began with the body and was never begun again, and at its end the connection was dropped without an answer.

Evidence: AnUploadThatGoesOnArrivingIsNotCutOffByTheIdleTimeout and AnUploadThatStopsArrivingIsRefused failed and pass. TestLibNet and TestLibGateway pass.

Why this works: the timer ends the upload only if nothing arrived for the idle timeout, and with 408: it went to no server.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -156,6 +156,7 @@
         if (expectation && Proxy::equalsIgnoringCase(*expectation, "100-continue"))
             stream_.write("HTTP/1.1 100 Continue\r\n\r\n");
         phase_ = Phase::Body;
+        readAt_ = server_.loop_.now();
         restartTimer(server_.limits_.idleTimeout);
     }
 
@@ -170,6 +171,7 @@
             }
             if (produced.value() == 0)
                 break;
+            readAt_ = server_.loop_.now();
             body_.append(chunk.data(), produced.value());
             server_.heldBodyBytes_ += produced.value();
             if (body_.size() > server_.limits_.maxBodyBytes) {
@@ -243,7 +245,12 @@
     void onTimer()
     {
         timer_ = {};
-        if (phase_ == Phase::Head && hasStarted_) {
+        auto const idleAt = readAt_ + server_.limits_.idleTimeout;
+        if (phase_ == Phase::Body && server_.loop_.now() < idleAt) {
+            restartTimer(idleAt - server_.loop_.now());
+            return;
+        }
+        if (phase_ == Phase::Body || (phase_ == Phase::Head && hasStarted_)) {
             refuse(statusRequestTimeout);
             return;
         }
@@ -261,6 +268,8 @@
     /// Bytes of the next request have arrived.
     bool hasStarted_ { false };
     Core::TimePoint startedAt_;
+    /// When the last piece of the body arrived.
+    Core::TimePoint readAt_;
     bool keepsAlive_ { true };
     std::uint64_t exchange_ { 0 };
     std::optional<Proxy::MessageReader> reader_;
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -232,6 +232,35 @@
     BOOST_TEST(echo.cutOff == 0);
 }
 
+// The idle time ran from the end of the head to the end of the body, whether or not the body went on arriving.
+BOOST_AUTO_TEST_CASE(AnUploadThatGoesOnArrivingIsNotCutOffByTheIdleTimeout)
+{
+    constexpr int pieces = 10;
+    Net::HttpLimits limits;
+    limits.idleTimeout = 300ms;
+    server->setLimits(limits);
+    Peer peer(loop, address);
+    peer.stream->write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(pieces) + "\r\n\r\n");
+    for (int i = 0; i < pieces; ++i) {
+        runFor(loop, 80ms);
+        peer.stream->write("x");
+    }
+    BOOST_TEST(receives(peer, "HTTP/1.1 200"));
+    BOOST_TEST(!peer.end.has_value());
+}
+
+// It has not run, so its caller may send it again.
+BOOST_AUTO_TEST_CASE(AnUploadThatStopsArrivingIsRefused)
+{
+    Net::HttpLimits limits;
+    limits.idleTimeout = 100ms;
+    server->setLimits(limits);
+    Peer peer(loop, address);
+    peer.stream->write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nxy");
+    BOOST_TEST(receives(peer, "HTTP/1.1 408"));
+    BOOST_TEST(echo.requests == 0);
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerThatIsCutOffIsReported)
 {
     echo.body.assign(32UL << 20, 'a');
