Leave a server at work five sixths of the grace, however short that is

Cause: the margin before the end of the grace was 800 ms whatever the grace is.

Evidence: AShortGraceLeavesAServerAtWorkFiveSixthsOfIt, a grace of 3 s and an answer after 2.4 s, failed (504) and passes.

Why this works: the margin is a sixth of the grace at most, the part in which a platform no longer expects an answer.

--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -1,6 +1,8 @@
 #include <LibGateway/EntryHost.h>
 #include <LibGateway/Exchange.h>
 
+#include <algorithm>
+
 namespace Gateway {
 
 using Telemetry::EventId;
@@ -14,9 +16,11 @@
     /// where no other host is ready.
     constexpr Core::Duration takingTime = std::chrono::milliseconds(2900);
     constexpr Core::Duration stopCheckInterval = std::chrono::milliseconds(50);
-    /// Every request is answered this long before the end of the grace. An answer then has half a second to cross the
-    /// host's link; a request that was sent before the stop had more than four fifths of a grace of six seconds.
+    /// Every request is answered this long before the end of the grace, so that its answer has half a second to cross
+    /// the host's link.
     constexpr Core::Duration answerMargin = std::chrono::milliseconds(800);
+    /// The platform expects that a server at work is waited for until the last sixth of the grace.
+    constexpr int answerMarginPart = 6;
     /// Kept from the grace, so that the process ends by itself.
     constexpr Core::Duration stopMargin = std::chrono::milliseconds(250);
 
@@ -56,7 +60,8 @@
         return;
     stopBegan_ = loop_.now();
     events_.write(EventId::ProcessStopping, { { "connections", gateway_.connectionCount() } });
-    gateway_.startDraining(stopBegan_ + settings_.stopGrace - answerMargin);
+    gateway_.startDraining(
+        stopBegan_ + settings_.stopGrace - std::min(answerMargin, settings_.stopGrace / answerMarginPart));
     continueStop();
 }
 
--- a/Tests/LibGateway/TestEntryHost.cpp
+++ b/Tests/LibGateway/TestEntryHost.cpp
@@ -16,8 +16,9 @@
 
 /// An entry host with one pool of one server.
 struct StopFixture {
-    StopFixture()
-        : events(Telemetry::EventLog::open({ .file = "/dev/null" }, clock).value())
+    explicit StopFixture(Core::Duration stopGrace = 4s)
+        : grace(stopGrace)
+        , events(Telemetry::EventLog::open({ .file = "/dev/null" }, clock).value())
         , server(loop, staySilent)
         , leader(loop, 0s)
     {
@@ -44,9 +45,9 @@
         runFor(loop, 20ms);
     }
 
-    static constexpr Core::Duration grace = 4s;
     static constexpr double linkBytesPerSecond = 20e3;
 
+    Core::Duration grace;
     Net::EventLoop loop;
     Core::SystemClock clock;
     std::unique_ptr<Telemetry::EventLog> events;
@@ -59,6 +60,14 @@
     bool wasKilled { false };
 };
 
+/// The grace is a setting of the deployment.
+struct ShortGraceFixture : StopFixture {
+    ShortGraceFixture()
+        : StopFixture(3s)
+    {
+    }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(EntryHosts, StopFixture)
@@ -91,4 +100,19 @@
     BOOST_TEST(second.status() == "503");
 }
 
+// A server at work may be given up only in the last sixth of the grace, from 2500 ms on. With six seconds that holds.
+BOOST_FIXTURE_TEST_CASE(AShortGraceLeavesAServerAtWorkFiveSixthsOfIt, ShortGraceFixture)
+{
+    server.setScript([](auto const& text) {
+        auto reaction = FakeServer::Reaction { answerTo(text, "200 OK", "done") };
+        reaction.after = 2400ms;
+        return reaction;
+    });
+    Caller caller(loop, address);
+    caller.send(request("/scan/x", "1", "image", 8000));
+    BOOST_REQUIRE(runUntil(loop, [&] { return server.requests().size() == 1; }));
+    stop();
+    BOOST_TEST(caller.status() == "200");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
