Refuse requests that are still arriving when a stopping entry host ends

What callers see: an upload of which a part has arrived gets neither an answer nor a refusal when its entry host ends. It was sent to no server, so the caller could have been told to go elsewhere.

Cause: the stop set a time by which every request is answered, but a request became known to it only once it was read whole.

Evidence: AnUploadThatIsStillArrivingIsRefusedBeforeTheProcessEnds failed (no status) and passes.

Why this works: from that time on, connections with a part of a request are answered 503 and closed.

--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -18,7 +18,7 @@
     constexpr Core::Duration stopCheckInterval = std::chrono::milliseconds(50);
     /// Every request is answered this long before the end of the grace, so that its answer has half a second to cross
     /// the host's link.
-    constexpr Core::Duration answerMargin = std::chrono::milliseconds(800);
+    constexpr Core::Duration maxAnswerMargin = std::chrono::milliseconds(800);
     /// The platform expects that a server at work is waited for until the last sixth of the grace.
     constexpr int answerMarginPart = 6;
     /// Kept from the grace, so that the process ends by itself.
@@ -54,14 +54,18 @@
     events_.reportSuppressed();
 }
 
+Core::Duration EntryHost::answerMargin() const
+{
+    return std::min(maxAnswerMargin, settings_.stopGrace / answerMarginPart);
+}
+
 void EntryHost::beginStop()
 {
     if (std::exchange(isStopping_, true))
         return;
     stopBegan_ = loop_.now();
     events_.write(EventId::ProcessStopping, { { "connections", gateway_.connectionCount() } });
-    gateway_.startDraining(
-        stopBegan_ + settings_.stopGrace - std::min(answerMargin, settings_.stopGrace / answerMarginPart));
+    gateway_.startDraining(stopBegan_ + settings_.stopGrace - answerMargin());
     continueStop();
 }
 
@@ -70,6 +74,8 @@
     auto const elapsed = loop_.now() - stopBegan_;
     if (elapsed >= takingTime)
         gateway_.stopTaking();
+    if (elapsed >= settings_.stopGrace - answerMargin())
+        gateway_.refuseIncomplete();
     if (elapsed >= balancerDelay)
         gateway_.closeIdleConnections();
     auto const isDone = elapsed >= balancerDelay && gateway_.connectionCount() == 0;
--- a/Libraries/LibGateway/EntryHost.h
+++ b/Libraries/LibGateway/EntryHost.h
@@ -35,6 +35,8 @@
     std::uint64_t itemRevision() const override { return gateway_.itemRevision(); }
     void sendReport();
     void continueStop();
+    /// From the time by which every request is answered until the end of the grace.
+    Core::Duration answerMargin() const;
 
     Net::EventLoop& loop_;
     Telemetry::EventLog& events_;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -42,6 +42,8 @@
     /// Takes no new connections, and refuses what still arrives on the open ones.
     void stopTaking();
     void closeIdleConnections() { server_->closeIdle(); }
+    /// Refuses requests that are still arriving.
+    void refuseIncomplete() { server_->refuseIncomplete(); }
     std::size_t connectionCount() const { return server_ ? server_->connectionCount() : 0; }
     std::size_t requestCount() const { return exchanges_.size(); }
     /// Memory of the answers that are being read from servers.
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -12,6 +12,7 @@
     constexpr std::uint16_t statusRequestTimeout = 408;
     constexpr std::uint16_t statusContentTooLarge = 413;
     constexpr std::uint16_t statusHeadTooLarge = 431;
+    constexpr std::uint16_t statusServiceUnavailable = 503;
     constexpr std::uint16_t statusNoContent = 204;
     constexpr std::uint16_t statusNotModified = 304;
 
@@ -71,6 +72,17 @@
         return phase_ == Phase::Head && !hasStarted_ && stream_.input().isEmpty() && stream_.pendingBytes() == 0;
     }
 
+    bool isReading() const { return phase_ == Phase::Body || (phase_ == Phase::Head && hasStarted_); }
+
+    /// Ends a request that was not read whole, and the connection with it.
+    void refuse(std::uint16_t status)
+    {
+        HttpResponse response;
+        response.status = status;
+        writeResponse(response, true);
+        linger();
+    }
+
     void respond(std::uint64_t exchange, HttpResponse const& response)
     {
         if (phase_ != Phase::Answer || exchange != exchange_)
@@ -199,14 +211,6 @@
         body_ = {};
     }
 
-    void refuse(std::uint16_t status)
-    {
-        HttpResponse response;
-        response.status = status;
-        writeResponse(response, true);
-        linger();
-    }
-
     void linger()
     {
         phase_ = Phase::Lingering;
@@ -250,7 +254,7 @@
             restartTimer(idleAt - server_.loop_.now());
             return;
         }
-        if (phase_ == Phase::Body || (phase_ == Phase::Head && hasStarted_)) {
+        if (isReading()) {
             refuse(statusRequestTimeout);
             return;
         }
@@ -331,6 +335,14 @@
         drop(id);
 }
 
+void HttpServer::refuseIncomplete()
+{
+    for (auto const& [id, connection] : connections_) {
+        if (connection->isReading())
+            connection->refuse(statusServiceUnavailable);
+    }
+}
+
 void HttpServer::closeAll()
 {
     while (!connections_.empty())
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -71,6 +71,8 @@
     void stopListening() { listener_.reset(); }
     /// Closes connections that have their answers whole and have sent nothing of another request.
     void closeIdle();
+    /// Answers 503 to requests of which only a part has arrived.
+    void refuseIncomplete();
     /// Closes every connection at once. Only what the kernel has taken is still sent.
     void closeAll();
     std::size_t connectionCount() const { return connections_.size(); }
--- a/Tests/LibGateway/TestEntryHost.cpp
+++ b/Tests/LibGateway/TestEntryHost.cpp
@@ -100,6 +100,17 @@
     BOOST_TEST(second.status() == "503");
 }
 
+// It was read in part and went to no server, so it can be refused truthfully.
+BOOST_AUTO_TEST_CASE(AnUploadThatIsStillArrivingIsRefusedBeforeTheProcessEnds)
+{
+    Caller caller(loop, address);
+    auto const text = request("/scan/x", "1", std::string(1000, 'b'), 8000);
+    caller.send(text.substr(0, text.size() - 1));
+    stop();
+    BOOST_TEST(caller.status() == "503");
+    BOOST_TEST(server.requests().empty());
+}
+
 // A server at work may be given up only in the last sixth of the grace, from 2500 ms on. With six seconds that holds.
 BOOST_FIXTURE_TEST_CASE(AShortGraceLeavesAServerAtWorkFiveSixthsOfIt, ShortGraceFixture)
 {
