Do not end a connection by its idle timeout while its answer is being sent

What callers see: an answer on a connection that is kept breaks off if the caller takes longer than the idle timeout to take it.

Cause: the idle time began when the answer was handed to the stream.

Why this works: no timer closes a connection with bytes pending, for up to a minute. Lingering connections follow the same rule instead of a bound of their own. A caller that takes nothing at all is ended by the silence timeout of its stream.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -22,6 +22,9 @@
     /// closed.
     constexpr Core::Duration lingerTimeout = std::chrono::seconds(1);
 
+    /// 16 MiB, the largest answer that an entry host holds, take 32 s on a link of 4.2 Mbit/s.
+    constexpr Core::Duration maxSendTime = std::chrono::seconds(60);
+
     bool mayHaveBody(std::uint16_t status) { return status != statusNoContent && status != statusNotModified; }
 
 } // namespace
@@ -214,7 +217,6 @@
     void linger()
     {
         phase_ = Phase::Lingering;
-        lingersUntil_ = server_.loop_.now() + server_.limits_.idleTimeout;
         stream_.resume();
         stream_.input().consume(stream_.input().view().size());
         // Closing with unread bytes would reset the connection and might take the answer with it.
@@ -235,6 +237,7 @@
         text.append("\r\n");
         if (mayHaveBody(response.status) && !isHeadRequest())
             text.append(response.body);
+        sendsUntil_ = server_.loop_.now() + maxSendTime;
         stream_.write(text);
     }
 
@@ -258,8 +261,9 @@
             refuse(statusRequestTimeout);
             return;
         }
-        if (phase_ == Phase::Lingering && stream_.pendingBytes() > 0 && server_.loop_.now() < lingersUntil_) {
-            restartTimer(lingerTimeout);
+        // The answer is not sent yet. A caller that takes nothing of it is ended by the silence timeout of its stream.
+        if (stream_.pendingBytes() > 0 && server_.loop_.now() < sendsUntil_) {
+            restartTimer(phase_ == Phase::Lingering ? lingerTimeout : server_.limits_.idleTimeout);
             return;
         }
         server_.drop(id_);
@@ -280,8 +284,8 @@
     std::string body_;
     /// Size of the body that was handed over and is not answered yet.
     std::size_t heldBytes_ { 0 };
-    /// A caller that takes longer for the last answer does not get it whole.
-    Core::TimePoint lingersUntil_;
+    /// A caller that takes longer for its answer does not get it whole.
+    Core::TimePoint sendsUntil_;
     EventLoop::TimerId timer_;
 };
 
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -232,6 +232,20 @@
     BOOST_TEST(echo.cutOff == 0);
 }
 
+// A connection that is kept open: the idle time began when the answer was handed over, not when it was sent.
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsStillBeingSentIsNotCutOffByTheIdleTimeout)
+{
+    echo.body.assign(32UL << 20, 'a');
+    Net::HttpLimits limits;
+    limits.idleTimeout = 300ms;
+    server->setLimits(limits);
+    SlowCaller caller(address);
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 1; }));
+    runFor(loop, 800ms);
+    BOOST_TEST(caller.readAnswer(loop, echo.body.size()));
+    BOOST_TEST(echo.cutOff == 0);
+}
+
 // The idle time ran from the end of the head to the end of the body, whether or not the body went on arriving.
 BOOST_AUTO_TEST_CASE(AnUploadThatGoesOnArrivingIsNotCutOffByTheIdleTimeout)
 {
