Let bodies without a length give way first when answers fill their memory

What callers see: twelve servers that send without end push out the answer of a sound server if that is larger than theirs at the moment when the bound is reached; its request ends with 502.

Cause: AnswerBudget looked at sizes only.

The two tests share their servers.

Why this works: an answer with a length ends, and a length beyond the bound of one answer is refused with its head, so that only answers without a length can be without end.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -189,9 +189,12 @@
         return false;
     }
     body_.append(piece);
+    if (!settings_.budget)
+        return true;
     // Not its capacity, which is up to twice as much: memory that was never written to is not taken from the host.
-    if (auto* const largest = settings_.budget ? settings_.budget->hold(*this, body_.size()) : nullptr)
-        largest->fail(ExchangeFailure::AnswerTooLarge);
+    auto const hasLength = reader_->head().contentLength.has_value();
+    if (auto* const victim = settings_.budget->hold(*this, body_.size(), hasLength))
+        victim->fail(ExchangeFailure::AnswerTooLarge);
     return isBusy_;
 }
 
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -70,6 +70,34 @@
         return caller;
     }
 
+    /// Each with a pool and a route of its own.
+    std::vector<std::unique_ptr<EndlessServer>> addEndlessServers(std::size_t count)
+    {
+        std::vector<std::unique_ptr<EndlessServer>> servers;
+        Fleet::ViewUpdate update;
+        for (std::size_t i = 0; i < count; ++i) {
+            servers.push_back(std::make_unique<EndlessServer>(loop, "HTTP/1.1 200 OK\r\nAttempt: {id}\r\n\r\n", "x"));
+            Core::PoolName const name { "endless-" + std::to_string(i) };
+            auto row = server(static_cast<Fleet::ServerNumber>(10 + i), b, name);
+            row.server.address = servers.back()->address;
+            update.servers.push_back(row);
+            update.pools.push_back({ name.value, { 1, pool(name, false) } });
+            add(update, route(name.value, "/" + name.value + "/", Fleet::RequestKind::Unsafe, name));
+        }
+        gateway.apply(update);
+        return servers;
+    }
+
+    std::vector<std::unique_ptr<Caller>> askEndlessServers(std::size_t count)
+    {
+        std::vector<std::unique_ptr<Caller>> callers;
+        for (std::size_t i = 0; i < count; ++i) {
+            callers.push_back(connect());
+            callers.back()->send(request("/endless-" + std::to_string(i) + "/x", "e" + std::to_string(i)));
+        }
+        return callers;
+    }
+
     Net::EventLoop loop;
     Core::SystemClock clock;
     TemporaryFolder folder;
@@ -452,23 +480,8 @@
     constexpr std::size_t endlessServers = 12;
     constexpr std::size_t maxHeldBytes = 24UL << 20;
     configure();
-    std::vector<std::unique_ptr<EndlessServer>> servers;
-    Fleet::ViewUpdate update;
-    for (std::size_t i = 0; i < endlessServers; ++i) {
-        servers.push_back(std::make_unique<EndlessServer>(loop, "HTTP/1.1 200 OK\r\nAttempt: {id}\r\n\r\n", "x"));
-        Core::PoolName const name { "endless-" + std::to_string(i) };
-        auto row = server(static_cast<Fleet::ServerNumber>(10 + i), b, name);
-        row.server.address = servers.back()->address;
-        update.servers.push_back(row);
-        update.pools.push_back({ name.value, { 1, pool(name, false) } });
-        add(update, route(name.value, "/" + name.value + "/", Fleet::RequestKind::Unsafe, name));
-    }
-    gateway.apply(update);
-    std::vector<std::unique_ptr<Caller>> callers;
-    for (std::size_t i = 0; i < endlessServers; ++i) {
-        callers.push_back(connect());
-        callers.back()->send(request("/endless-" + std::to_string(i) + "/x", "e" + std::to_string(i)));
-    }
+    auto const servers = addEndlessServers(endlessServers);
+    auto const callers = askEndlessServers(endlessServers);
     std::string const body(500'000, 'b');
     a.setScript(answering("200 OK", body));
     auto const sound = connect();
@@ -487,8 +500,33 @@
     BOOST_TEST(runUntil(loop, [&] { return sound->received().ends_with(body); }));
 }
 
-// The connection came about late, and the deadline and the settle time ended in the same turn of a loaded loop: the request
-// was refused as not sent, and was then sent.
+// A sound answer says how long it is; a body without end cannot, unless it is refused by its head. Yet the larger one
+// gives way.
+BOOST_AUTO_TEST_CASE(BodiesWithoutEndDoNotPushOutALargeSoundAnswer)
+{
+    constexpr std::size_t endlessServers = 12;
+    constexpr std::size_t firstPart = 4UL << 20;
+    configure();
+    auto const servers = addEndlessServers(endlessServers);
+    // Most of a sound answer arrives, and its end once the bodies without end have met the bound.
+    std::string const rest(1000, 'b');
+    a.setScript([&](auto const& request) {
+        auto bytes = answerTo(request, "200 OK", std::string(firstPart, 'b') + rest);
+        bytes.resize(bytes.size() - rest.size());
+        return FakeServer::Reaction { bytes };
+    });
+    auto const sound = connect();
+    sound->send(request("/unsafe/x", "sound"));
+    BOOST_REQUIRE(runUntil(loop, [&] { return gateway.heldAnswerBytes() == firstPart; }));
+    auto const callers = askEndlessServers(endlessServers);
+    BOOST_REQUIRE(runUntil(loop,
+        [&] { return std::ranges::any_of(callers, [](auto const& caller) { return caller->status() == "502"; }); }));
+    // Not given up.
+    BOOST_TEST(sound->received().empty());
+}
+
+// The connection came about late, and the deadline and the settle time ended in the same turn of a loaded loop: the
+// request was refused as not sent, and was then sent.
 BOOST_AUTO_TEST_CASE(ARequestThatWasRefusedAtItsDeadlineIsNotSentInTheSameTurn)
 {
     constexpr int attempts = 10;
