Count answers that wait for their callers as memory that is held

What callers see: large answers to callers that take nothing fill the memory of an entry host, and its process is killed.

Cause: the budget of an answer ends when it is complete; from then on the stream to its caller holds it, which was counted nowhere.

Why this works: the server knows the connections whose last answer the kernel did not take at once, and their bytes count against the 96 MiB above which further requests are refused.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -10,7 +10,7 @@
     constexpr double usedConnectionPart = 0.8;
     /// Part of the bound on requests to a cold server that is used.
     constexpr double usedColdPart = 0.9;
-    /// Bodies of requests and of answers that are being read. A host may have 160 MB.
+    /// Bodies of requests, and of answers that are being read or sent. A host may have 160 MB.
     constexpr std::uint64_t maxHeldBodyBytes = 96UL * 1024 * 1024;
     constexpr std::size_t maxSuspicions = 1000;
 
@@ -82,7 +82,7 @@
 
 void Gateway::onRequest(Net::ExchangeId id, Net::HttpRequest request)
 {
-    if (server_->heldBodyBytes() + links_.heldAnswerBytes() > maxHeldBodyBytes) {
+    if (server_->heldBodyBytes() + heldAnswerBytes() > maxHeldBodyBytes) {
         Net::HttpResponse response;
         response.status = 503;
         response.fields.push_back({ "Retry-After", "0.5" });
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -46,8 +46,8 @@
     void refuseIncomplete() { server_->refuseIncomplete(); }
     std::size_t connectionCount() const { return server_ ? server_->connectionCount() : 0; }
     std::size_t requestCount() const { return exchanges_.size(); }
-    /// Memory of the answers that are being read from servers.
-    std::size_t heldAnswerBytes() const { return links_.heldAnswerBytes(); }
+    /// Memory of the answers that are being read from servers or sent to callers.
+    std::size_t heldAnswerBytes() { return links_.heldAnswerBytes() + server_->unsentAnswerBytes(); }
     /// Closes all connections, and logs each request and answer that this cuts off.
     void closeAll();
     /// Arrivals, latencies and suspicions since the last report.
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -75,6 +75,7 @@
         return phase_ == Phase::Head && !hasStarted_ && stream_.input().isEmpty() && stream_.pendingBytes() == 0;
     }
 
+    std::size_t unsentBytes() const { return stream_.pendingBytes(); }
     bool isReading() const { return phase_ == Phase::Body || (phase_ == Phase::Head && hasStarted_); }
 
     /// Ends a request that was not read whole, and the connection with it.
@@ -239,6 +240,8 @@
             text.append(response.body);
         sendsUntil_ = server_.loop_.now() + maxSendTime;
         stream_.write(text);
+        if (stream_.pendingBytes() > 0)
+            server_.sending_.insert(id_);
     }
 
     bool isHeadRequest() const { return reader_ && reader_->head().method == "HEAD"; }
@@ -328,6 +331,18 @@
         found->second->respond(id.exchange, response);
 }
 
+std::uint64_t HttpServer::unsentAnswerBytes()
+{
+    std::uint64_t bytes = 0;
+    std::erase_if(sending_, [&](auto const id) {
+        auto const found = connections_.find(id);
+        auto const unsent = found == connections_.end() ? 0 : found->second->unsentBytes();
+        bytes += unsent;
+        return unsent == 0;
+    });
+    return bytes;
+}
+
 void HttpServer::closeIdle()
 {
     std::vector<std::uint64_t> idle;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -4,6 +4,7 @@
 #include <LibProxy/HttpMessage.h>
 
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Net {
 
@@ -78,6 +79,8 @@
     std::size_t connectionCount() const { return connections_.size(); }
     /// Bytes of request bodies that are being read or answered.
     std::uint64_t heldBodyBytes() const { return heldBodyBytes_; }
+    /// Bytes of answers that the kernel has not taken because their callers are slow.
+    std::uint64_t unsentAnswerBytes();
 
 private:
     class Connection;
@@ -92,6 +95,8 @@
     HttpLimits limits_;
     bool isDraining_ { false };
     std::uint64_t heldBodyBytes_ { 0 };
+    /// Connections whose last answer the kernel did not take at once.
+    std::unordered_set<std::uint64_t> sending_;
     std::uint64_t nextConnection_ { 1 };
     std::unique_ptr<Listener> listener_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -525,6 +525,37 @@
     BOOST_TEST(sound->received().empty());
 }
 
+// The budget for answers ends when an answer is complete; what waits for its caller was counted nowhere.
+BOOST_AUTO_TEST_CASE(AnswersThatWaitForTheirCallersCountAsHeld)
+{
+    constexpr std::size_t answerBytes = 12UL << 20;
+    constexpr std::size_t callerCount = 10;
+    // What the kernel may take of each answer.
+    constexpr std::size_t kernelBytes = 6UL << 20;
+    configure();
+    auto const body = std::string(answerBytes, 'b');
+    a.setScript([&](auto const& request) { return FakeServer::Reaction { answerTo(request, "200 OK", body) }; });
+    std::vector<int> callers;
+    for (std::size_t i = 0; i < callerCount; ++i) {
+        // Never reads.
+        auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        callers.push_back(fd);
+        sockaddr_in to {};
+        to.sin_family = AF_INET;
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        to.sin_port = htons(address.port);
+        BOOST_REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+        auto const text = request("/unsafe/x", std::to_string(i));
+        BOOST_REQUIRE(::send(fd, text.data(), text.size(), 0) > 0);
+        BOOST_REQUIRE(runUntil(loop, [&] { return a.requests().size() == i + 1 && gateway.requestCount() == 0; }));
+    }
+    BOOST_TEST(gateway.heldAnswerBytes() >= callerCount * (answerBytes - kernelBytes));
+    for (auto const fd : callers)
+        ::close(fd);
+}
+
+// The connection came about late, and the deadline and the settle time ended in the same turn of a loaded loop: the
+// request was refused as not sent, and was then sent.
 // The connection came about late, and the deadline and the settle time ended in the same turn of a loaded loop: the
 // request was refused as not sent, and was then sent.
 BOOST_AUTO_TEST_CASE(ARequestThatWasRefusedAtItsDeadlineIsNotSentInTheSameTurn)
