Answer every request before a stop of the data path ends

What callers saw: a caller whose request waits at a silent server when primroseshiftd stops gets neither an answer nor a refusal; its connection is closed. Stop shut down the callers' sockets under open exchanges.

Why this works: StopDeadline holds the time by which a stop ends the requests. The deadline of a request is the earlier of its own and that one, and every wait polls its timer's descriptor, so that threads that wait already are woken; nothing is said about one wait in particular. A drain that begins with a limit sets it 2 s before its end (half the limit, if shorter); a stop sets it to now and waits up to 2 s for the answers. Servers and dispatchers are told the time that is left. A request whose first byte was sent ends as unknown at its deadline, as before.

A drain that has begun without a limit keeps the deadlines until the stop, which DrainFinishesRequestsInFlightAndRejectsNewOnes needs.

--- a/Libraries/LibProxy/AnnounceEndpoint.cpp
+++ b/Libraries/LibProxy/AnnounceEndpoint.cpp
@@ -36,7 +36,10 @@
     Reply handle(Environment& environment, CallerConnection const& caller, RequestBody& body)
     {
         body.setLimit(maxAnnouncementBytes);
-        auto const read = body.buffer(maxAnnouncementBytes, Core::BootClock::now() + announcementTimeout);
+        auto const read
+            = body.buffer(maxAnnouncementBytes, Core::BootClock::now() + announcementTimeout, environment.stopDeadline);
+        if (read.isError() && read.error() == BodyError::DeadlinePassed && environment.isDraining)
+            return refuse(503, "draining");
         if (read.isError())
             return read.error() == BodyError::TooLarge ? refuse(413, "too-large") : refuse(400, "bad-body");
         if (environment.isDraining)
--- a/Libraries/LibProxy/Attempt.cpp
+++ b/Libraries/LibProxy/Attempt.cpp
@@ -65,8 +65,9 @@
     auto opened = environment_.connections.open({ .server = plan_.server,
         .entryHosts = plan_.entryHosts,
         .maxAge = maxAge,
-        .deadline = std::min(context_.deadline, Core::BootClock::now() + settings.connectTimeout),
-        .watched = context_.isClaimed ? -1 : context_.caller.descriptor() });
+        .deadline = std::min(context_.deadline(), Core::BootClock::now() + settings.connectTimeout),
+        .watched = context_.isClaimed ? -1 : context_.caller.descriptor(),
+        .alarm = context_.stopDeadline.descriptor() });
     if (!opened.isError()) {
         connection_.emplace(std::move(opened).value());
         return Core::Void {};
@@ -82,7 +83,7 @@
 {
     TRY(connect());
     auto const head = requestHead();
-    if (Core::BootClock::now() >= context_.deadline)
+    if (Core::BootClock::now() >= context_.deadline())
         return fail(AttemptOutcome::NotSent, Reason::DeadlineUnreachable);
     // Last check before the first byte: the process may have been paused since the permit was granted.
     if (!environment_.collaborators.views.hasValidLease())
@@ -151,7 +152,7 @@
     std::array<pollfd, 2> polled { pollfd { descriptor(), static_cast<short>(events | POLLIN), 0 },
         pollfd { watchesCaller ? context_.caller.descriptor() : -1, callerEvents, 0 } };
     // A caller that is slow with its body says nothing about the server.
-    if (!waitFor(polled, context_.deadline))
+    if (!context_.waitFor(polled))
         return fail(readsCaller ? AttemptOutcome::Cancelled : AttemptOutcome::TimedOut, Reason::DeadlineExceeded);
     // A caller that ends its stream in the middle of the body is found by reading.
     if (!readsCaller && (polled[1].revents & hangUpEvents) != 0)
@@ -207,7 +208,8 @@
 
 std::string Attempt::requestHead() const
 {
-    auto const remaining = std::max<std::int64_t>(1, Core::toMilliseconds(context_.deadline - Core::BootClock::now()));
+    auto const remaining
+        = std::max<std::int64_t>(1, Core::toMilliseconds(context_.deadline() - Core::BootClock::now()));
     std::string text;
     text.reserve(1024);
     text.append(context_.head.method).append(" ").append(context_.head.target).append(" HTTP/1.1\r\n");
--- a/Libraries/LibProxy/AttemptPlanner.cpp
+++ b/Libraries/LibProxy/AttemptPlanner.cpp
@@ -65,8 +65,8 @@
         Rejection const noOwner { Reason::NoOwner, std::chrono::seconds(1) };
         if (held.position() > std::max(1U, environment.settings.maxConnections / heldShare))
             return noOwner;
-        auto const limit = std::min(context.deadline, Core::BootClock::now() + environment.settings.ownerWait);
-        while (Core::BootClock::now() < limit && !environment.isStopping) {
+        auto const limit = Core::BootClock::now() + environment.settings.ownerWait;
+        while (Core::BootClock::now() < std::min(limit, context.deadline())) {
             if (!pauseFor(context, ownerPollInterval))
                 return Rejection { Reason::CallerLeft };
             if (!views.hasValidLease())
@@ -107,7 +107,7 @@
             .caller = context.record.caller,
             .priority = context.route->priority,
             .requestClass = context.route->requestClass,
-            .deadline = context.deadline,
+            .deadline = context.deadline(),
             .kind = kind,
             .fingerprint = context.fingerprint };
         if (target.owner)
@@ -157,19 +157,19 @@
 bool pauseFor(RequestContext const& context, Core::Duration duration)
 {
     pollfd polled { context.isClaimed ? -1 : context.caller.descriptor(), POLLRDHUP, 0 };
-    return !waitFor({ &polled, 1 }, std::min(context.deadline, Core::BootClock::now() + duration));
+    return !context.waitFor({ &polled, 1 }, Core::BootClock::now() + duration);
 }
 
 Core::Result<AttemptPlan, Rejection> planAttempt(Environment& environment, RequestContext& context,
     Policy::AttemptKind kind, std::span<Core::ServerName const> excluded)
 {
     auto& collaborators = environment.collaborators;
-    while (Core::BootClock::now() < context.deadline) {
+    while (Core::BootClock::now() < context.deadline()) {
         auto const target = TRY(waitForTarget(environment, context));
         auto const pool = context.pool->name;
         if (needsConfirmation(context, target)) {
-            auto const confirmed
-                = collaborators.orders.confirmOwner(context.pool->name, *context.slot, *target.epoch, context.deadline);
+            auto const confirmed = collaborators.orders.confirmOwner(
+                context.pool->name, *context.slot, *target.epoch, context.deadline());
             if (confirmed.isError() && std::holds_alternative<OrderGateUnavailable>(confirmed.error()))
                 return notReady();
             if (confirmed.isError()) {
--- a/Libraries/LibProxy/CallerSession.cpp
+++ b/Libraries/LibProxy/CallerSession.cpp
@@ -41,36 +41,48 @@
         if (!waitFor(polled, limit))
             return false;
     }
-    if (polled[0].revents != 0 || environment_.isStopping)
-        return !environment_.isStopping;
-    return waitFor(std::span(polled).first(1), Core::BootClock::now() + drainGrace);
+    // A request that has come is answered, also while the server stops.
+    if (polled[0].revents != 0)
+        return true;
+    return environment_.stopDeadline.waitFor(std::span(polled).first(1), Core::BootClock::now() + drainGrace);
 }
 
-Core::Result<Core::Void, ParseError> CallerSession::readHead(MessageReader& request)
+Core::Result<Core::Void, CallerSession::HeadFailure> CallerSession::readHead(MessageReader& request)
 {
     auto const deadline = Core::BootClock::now() + environment_.settings.headTimeout;
     while (true) {
-        if (!caller_.input.isEmpty() && TRY(request.readHead(caller_.input)))
-            return Core::Void {};
+        if (!caller_.input.isEmpty()) {
+            auto const complete = request.readHead(caller_.input);
+            if (complete.isError()) {
+                auto const& error = complete.error();
+                auto const isTooLarge = error.kind == ParseErrorKind::HeadTooLarge;
+                return HeadFailure { isTooLarge ? Reason::HeadersTooLarge : Reason::BadRequest, error.detail,
+                    error.kind == ParseErrorKind::Truncated };
+            }
+            if (complete.value())
+                return Core::Void {};
+        }
         auto const received = caller_.input.receiveFrom(caller_.socket);
         if (received.status == IoStatus::Done)
             continue;
         if (received.status != IoStatus::WouldBlock)
-            return ParseError { ParseErrorKind::Truncated, "connection closed" };
+            return HeadFailure { .detail = "connection closed", .isEnd = true };
         std::array<pollfd, 1> polled { pollfd { caller_.socket.descriptor(), POLLIN, 0 } };
-        if (!waitFor(polled, deadline))
-            return ParseError { ParseErrorKind::Malformed, "head timeout" };
+        if (environment_.stopDeadline.waitFor(polled, deadline))
+            continue;
+        if (environment_.stopDeadline.hasPassed())
+            return HeadFailure { Reason::Draining, "head incomplete at the stop" };
+        return HeadFailure { Reason::BadRequest, "head timeout" };
     }
 }
 
-void CallerSession::rejectHead(ParseError const& error)
+void CallerSession::rejectHead(HeadFailure const& failure)
 {
     // A connection that ends between requests is the normal end.
-    if (error.kind == ParseErrorKind::Truncated && caller_.input.isEmpty())
+    if (failure.isEnd && caller_.input.isEmpty())
         return;
-    auto const reason = error.kind == ParseErrorKind::HeadTooLarge ? Reason::HeadersTooLarge : Reason::BadRequest;
-    environment_.collaborators.observer.inputRejected({ caller_.remoteAddress, reason, error.detail });
-    caller_.socket.send(rejectionMessage({ reason }, Core::RequestId::generate(threadRandom()), false));
+    environment_.collaborators.observer.inputRejected({ caller_.remoteAddress, failure.reason, failure.detail });
+    caller_.socket.send(rejectionMessage({ failure.reason }, Core::RequestId::generate(threadRandom()), false));
     caller_.socket.finishSending(lingerTime);
 }
 
--- a/Libraries/LibProxy/CallerSession.h
+++ b/Libraries/LibProxy/CallerSession.h
@@ -20,8 +20,16 @@
 private:
     /// False when the connection stays idle too long, is closed, or the server drains.
     bool waitForRequest();
-    Core::Result<Core::Void, ParseError> readHead(MessageReader&);
-    void rejectHead(ParseError const&);
+    /// Why no whole head came.
+    struct HeadFailure {
+        Reason reason { Reason::BadRequest };
+        std::string detail;
+        /// The caller ended its stream.
+        bool isEnd { false };
+    };
+
+    Core::Result<Core::Void, HeadFailure> readHead(MessageReader&);
+    void rejectHead(HeadFailure const&);
     bool serve(MessageReader&);
 
     Environment& environment_;
--- a/Libraries/LibProxy/Collaborators.h
+++ b/Libraries/LibProxy/Collaborators.h
@@ -33,6 +33,8 @@
     {
         return std::nullopt;
     }
+    /// The process stops. Every wait in `acquire`, begun or to come, ends with a refusal by this time.
+    virtual void endWaitsBy(Core::TimePoint) { }
 };
 
 /// Identifies a non-idempotent request over resends by its caller.
@@ -91,6 +93,8 @@
     virtual Core::Result<Core::Void, ConfirmError> confirmOwner(
         Core::PoolName const&, Core::SlotNumber, Core::Epoch, Core::TimePoint deadline)
         = 0;
+    /// The process stops. Every wait in this interface, begun or to come, ends as unavailable by this time.
+    virtual void endWaitsBy(Core::TimePoint) { }
 };
 
 } // namespace Proxy
--- a/Libraries/LibProxy/Exchange.cpp
+++ b/Libraries/LibProxy/Exchange.cpp
@@ -49,7 +49,11 @@
     : environment_(environment)
     , record_(beginRecord(environment, caller, request.head()))
     , body_(request, caller.input, caller.socket)
-    , context_ { .head = request.head(), .body = body_, .caller = caller.socket, .record = record_ }
+    , context_ { .head = request.head(),
+        .body = body_,
+        .caller = caller.socket,
+        .record = record_,
+        .stopDeadline = environment.stopDeadline }
     , relay_(environment, context_, keepsCaller)
 {
 }
@@ -93,7 +97,7 @@
         if (!context_.head.isHttp10 && !body_.isDone())
             context_.caller.send(continueResponse);
     }
-    auto const buffered = body_.buffer(RequestBody::bufferedBytes, context_.deadline);
+    auto const buffered = body_.buffer(RequestBody::bufferedBytes, context_.callerDeadline, context_.stopDeadline);
     if (buffered.isError())
         return toRejection(buffered.error());
     return Core::Void {};
@@ -114,7 +118,7 @@
 Core::Result<bool, Rejection> Exchange::claimOrder()
 {
     auto claimed = environment_.collaborators.orders.claim(
-        orderKey(), context_.fingerprint, record_.requestId, context_.deadline);
+        orderKey(), context_.fingerprint, record_.requestId, context_.deadline());
     if (claimed.isError())
         return Rejection { Reason::NotReady, std::chrono::seconds(1) };
     auto const visitor = Core::Overloaded {
@@ -150,7 +154,7 @@
         // Jitter keeps the retries of many callers apart; the dispatcher bounds their number.
         constexpr std::uint64_t backoffMilliseconds = 10;
         auto const backoff = std::chrono::milliseconds(threadRandom().below(backoffMilliseconds << record_.retries));
-        auto const isPastDeadline = Core::BootClock::now() + backoff >= context_.deadline;
+        auto const isPastDeadline = Core::BootClock::now() + backoff >= context_.deadline();
         if (isPastDeadline || !pauseFor(context_, backoff))
             return failure.rejection;
         kind = AttemptKind::Retry;
@@ -199,7 +203,7 @@
 
 Core::TimePoint Exchange::nextWakeUp() const
 {
-    auto wakeUp = context_.deadline;
+    auto wakeUp = context_.deadline();
     if (hedgeAt_)
         wakeUp = std::min(wakeUp, *hedgeAt_);
     if (silentAt_)
@@ -246,7 +250,7 @@
         polled.at(count++) = { attempt->descriptor(), POLLIN | POLLRDHUP, 0 };
     auto& caller = polled.at(count++);
     caller = { context_.isClaimed ? -1 : context_.caller.descriptor(), POLLRDHUP, 0 };
-    if (!waitFor(std::span(polled).first(count), nextWakeUp())) {
+    if (!context_.waitFor(std::span(polled).first(count), nextWakeUp())) {
         TRY(onTimeout());
         return std::unique_ptr<Attempt> {};
     }
@@ -277,7 +281,7 @@
 Core::Result<Core::Void, AttemptFailure> Exchange::onTimeout()
 {
     auto const now = Core::BootClock::now();
-    if (now >= context_.deadline)
+    if (now >= context_.deadline())
         return AttemptFailure { AttemptOutcome::TimedOut, { Reason::DeadlineExceeded } };
     if (hedgeAt_ && now >= *hedgeAt_) {
         hedgeAt_.reset();
--- a/Libraries/LibProxy/RequestBody.cpp
+++ b/Libraries/LibProxy/RequestBody.cpp
@@ -5,7 +5,8 @@
 
 namespace Proxy {
 
-Core::Result<Core::Void, BodyError> RequestBody::buffer(std::size_t bytes, Core::TimePoint deadline)
+Core::Result<Core::Void, BodyError> RequestBody::buffer(
+    std::size_t bytes, Core::TimePoint deadline, StopDeadline const& stopDeadline)
 {
     constexpr std::size_t pieceBytes = 16UL * 1024;
     while (!isDone() && buffered_.size() < bytes) {
@@ -18,7 +19,7 @@
         if (decoded.value() > 0 || isDone())
             continue;
         std::array<pollfd, 1> polled { pollfd { caller_.descriptor(), POLLIN | POLLRDHUP, 0 } };
-        if (!waitFor(polled, deadline))
+        if (!stopDeadline.waitFor(polled, deadline))
             return BodyError::DeadlinePassed;
     }
     return Core::Void {};
--- a/Libraries/LibProxy/RequestBody.h
+++ b/Libraries/LibProxy/RequestBody.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibProxy/HttpMessage.h>
+#include <LibProxy/StopDeadline.h>
 
 namespace Proxy {
 
@@ -22,7 +23,7 @@
 
     void setLimit(std::uint64_t bytes) { limit_ = bytes; }
     /// Buffers the body up to `bufferedBytes` or its end.
-    Core::Result<Core::Void, BodyError> buffer(std::size_t bytes, Core::TimePoint deadline);
+    Core::Result<Core::Void, BodyError> buffer(std::size_t bytes, Core::TimePoint deadline, StopDeadline const&);
     std::string_view buffered() const { return buffered_; }
     /// The whole body was read from the caller.
     bool isDone() const { return reader_.isDone(); }
--- a/Libraries/LibProxy/RequestContext.cpp
+++ b/Libraries/LibProxy/RequestContext.cpp
@@ -66,13 +66,13 @@
 
     Core::Result<Core::Void, Rejection> readLimits(RequestContext& context)
     {
-        context.deadline = context.record.begin + context.route->deadline;
+        context.callerDeadline = context.record.begin + context.route->deadline;
         if (auto const text = context.head.find("Primroseshift-Deadline-Ms")) {
             auto const milliseconds = parseNumber<std::uint32_t>(*text, 10);
             if (!milliseconds)
                 return Rejection { Reason::BadRequest };
-            context.deadline
-                = std::min(context.deadline, context.record.begin + std::chrono::milliseconds(*milliseconds));
+            context.callerDeadline
+                = std::min(context.callerDeadline, context.record.begin + std::chrono::milliseconds(*milliseconds));
         }
         context.idempotencyKey = context.head.find("Idempotency-Key").value_or(std::string_view {});
         if (context.idempotencyKey.size() > maxIdempotencyKeyBytes || context.head.count("Idempotency-Key") > 1)
--- a/Libraries/LibProxy/RequestContext.h
+++ b/Libraries/LibProxy/RequestContext.h
@@ -4,8 +4,10 @@
 #include <LibProxy/Server.h>
 #include <LibProxy/ServerConnections.h>
 #include <LibProxy/SlotUsage.h>
+#include <LibProxy/StopDeadline.h>
 #include <LibProxy/WorkerThreads.h>
 
+#include <algorithm>
 #include <atomic>
 
 namespace Proxy {
@@ -21,6 +23,7 @@
     SlotUsage slots;
     /// Run the probes that tell half-open connections from failed servers.
     WorkerThreads probes { maxProbes };
+    StopDeadline stopDeadline;
     std::atomic<bool> isDraining { false };
     std::atomic<bool> isStopping { false };
     std::atomic<std::uint32_t> requestsInFlight { 0 };
@@ -40,6 +43,7 @@
     RequestBody& body;
     Socket& caller;
     RequestRecord& record;
+    StopDeadline const& stopDeadline;
     /// Keeps `route` and `pool` alive.
     std::shared_ptr<Routing::View const> view;
     Routing::RouteDefinition const* route { nullptr };
@@ -48,11 +52,20 @@
     /// Key-partitioned pools only.
     std::optional<Core::SlotNumber> slot;
     std::string idempotencyKey;
-    Core::TimePoint deadline;
+    /// Of the caller and its route.
+    Core::TimePoint callerDeadline;
     Core::Digest fingerprint;
     /// A claimed order goes on without its caller, so that a resend gets the answer.
     bool isClaimed { false };
 
+    /// Every wait for the request ends by this time, which a stop moves forward.
+    Core::TimePoint deadline() const { return std::min(callerDeadline, stopDeadline.value()); }
+    /// Waits until one of the descriptors is ready. False when the given time or the deadline passed.
+    bool waitFor(std::span<pollfd> polled, Core::TimePoint limit) const
+    {
+        return stopDeadline.waitFor(polled, std::min(limit, callerDeadline));
+    }
+    bool waitFor(std::span<pollfd> polled) const { return waitFor(polled, callerDeadline); }
     bool isIdempotent() const { return route->requestClass == Routing::RequestClass::Idempotent; }
 };
 
--- a/Libraries/LibProxy/ResponseRelay.cpp
+++ b/Libraries/LibProxy/ResponseRelay.cpp
@@ -137,9 +137,10 @@
             std::ranges::copy(end, buffer.begin() + static_cast<std::ptrdiff_t>(bytes));
             length += end.size();
         }
-        auto const deadline
-            = isLast ? std::max(context_.deadline, Core::BootClock::now() + deliveryGrace) : context_.deadline;
-        if (write(text, { buffer.data(), length }, deadline))
+        auto lastDelivery = std::optional<Core::TimePoint> {};
+        if (isLast)
+            lastDelivery = std::max(context_.deadline(), Core::BootClock::now() + deliveryGrace);
+        if (write(text, { buffer.data(), length }, lastDelivery))
             context_.record.bytesOut += bytes;
         isHeadSent = true;
         text.clear();
@@ -163,13 +164,13 @@
         kept_->body.append(data);
 }
 
-bool ResponseRelay::write(std::string_view first, std::string_view second, Core::TimePoint deadline)
+bool ResponseRelay::write(std::string_view first, std::string_view second, std::optional<Core::TimePoint> lastDelivery)
 {
     while (!callerLeft_ && (!first.empty() || !second.empty())) {
         auto const sent = first.empty() ? context_.caller.send(second) : context_.caller.send(first, second);
         if (sent.status == IoStatus::WouldBlock) {
             std::array<pollfd, 1> polled { pollfd { context_.caller.descriptor(), POLLOUT, 0 } };
-            callerLeft_ = !waitFor(polled, deadline);
+            callerLeft_ = lastDelivery ? !waitFor(polled, *lastDelivery) : !context_.waitFor(polled);
             continue;
         }
         callerLeft_ = sent.status != IoStatus::Done;
--- a/Libraries/LibProxy/ResponseRelay.h
+++ b/Libraries/LibProxy/ResponseRelay.h
@@ -37,8 +37,8 @@
     Framing framingOf(MessageHead const&) const;
     std::string responseHead(MessageHead const&, Framing) const;
     void keep(std::string_view data);
-    /// False when the caller left or the deadline passed.
-    bool write(std::string_view first, std::string_view second, Core::TimePoint deadline);
+    /// False when the caller left or the time passed: that given for a last delivery, else that of the request.
+    bool write(std::string_view first, std::string_view second, std::optional<Core::TimePoint> lastDelivery);
     void truncate(Framing);
 
     Environment& environment_;
--- a/Libraries/LibProxy/Server.cpp
+++ b/Libraries/LibProxy/Server.cpp
@@ -57,28 +57,33 @@
         return endpoint;
     }
 
-    void beginDrain()
+    /// False when the drain had begun before.
+    bool beginDrain()
     {
         if (environment_.isDraining.exchange(true))
-            return;
+            return false;
         std::uint64_t const one = 1;
         [[maybe_unused]] auto const written = ::write(drainEvent_.descriptor(), &one, sizeof one);
         listener_.close();
+        return true;
     }
 
     bool drain(Core::Duration limit)
     {
-        beginDrain();
-        std::unique_lock lock(mutex_);
-        return callersGone_.wait_for(lock, limit, [&] { return callers_.empty(); });
+        auto const end = Core::BootClock::now() + limit;
+        if (beginDrain())
+            endRequestsBy(end - std::min(answerMargin, limit / 2));
+        return waitForCallers(end);
     }
 
     void stop()
     {
         beginDrain();
-        environment_.isStopping = true;
+        endRequestsBy(Core::BootClock::now());
+        waitForCallers(environment_.stopDeadline.value() + answerMargin);
         {
             std::scoped_lock const lock(mutex_);
+            environment_.isStopping = true;
             for (auto const descriptor : callers_)
                 ::shutdown(descriptor, SHUT_RDWR);
         }
@@ -101,6 +106,19 @@
     std::vector<SlotInFlight> slotsInFlight() const { return environment_.slots.list(); }
 
 private:
+    void endRequestsBy(Core::TimePoint deadline)
+    {
+        environment_.stopDeadline.limit(deadline);
+        environment_.collaborators.permits.endWaitsBy(environment_.stopDeadline.value());
+        environment_.collaborators.orders.endWaitsBy(environment_.stopDeadline.value());
+    }
+
+    bool waitForCallers(Core::TimePoint end)
+    {
+        std::unique_lock lock(mutex_);
+        return callersGone_.wait_for(lock, end - Core::BootClock::now(), [&] { return callers_.empty(); });
+    }
+
     void accept(int descriptor, bool isRejected)
     {
         CallerConnection caller { Socket(descriptor), InputBuffer(), remoteAddressOf(descriptor) };
--- a/Libraries/LibProxy/Server.h
+++ b/Libraries/LibProxy/Server.h
@@ -80,12 +80,18 @@
     Core::Result<Core::Endpoint, BindFailed> start();
     /// Rejects new requests as `draining` and closes the listener. Requests in flight go on.
     void beginDrain();
-    /// Calls beginDrain and waits for the requests in flight. False when some were still running at the limit.
+    /// Calls beginDrain and waits for the requests in flight. False when some were still running at the limit. A drain
+    /// that begins with a limit bounds the deadlines of all requests, so that each one is answered `answerMargin` (at
+    /// most half the limit) before it; one that has begun without a limit leaves them as they are.
     bool drain(Core::Duration limit);
-    /// Breaks the remaining connections and joins all threads. Requests that wait in PermitSource or OrderGate are
-    /// waited for, so make those refuse first.
+    /// Ends the deadlines of the remaining requests, waits until they are answered, at most `answerMargin`, breaks the
+    /// remaining connections, which are of callers that do not read, and joins all threads.
     void stop();
 
+    /// Covers the ends of waits outside of this library, of which a claim takes longest (0.55 s), and the second for
+    /// which a connection is kept for the rest of a refused request's body.
+    static constexpr Core::Duration answerMargin = std::chrono::seconds(2);
+
     bool isDraining() const;
     ServerCounts counts() const;
     /// Publish a view with a releasing slot first, then ask: a request that is not listed uses the new view.
--- a/Libraries/LibProxy/ServerConnections.cpp
+++ b/Libraries/LibProxy/ServerConnections.cpp
@@ -59,7 +59,7 @@
         if (isUsable(connection.socket()))
             return connection;
     }
-    auto connected = connectTo(request.server.endpoint, request.deadline, request.watched);
+    auto connected = connectTo(request.server.endpoint, request.deadline, request.watched, request.alarm);
     if (connected.isError()) {
         stopCounting(request.server.name);
         return OpenError { connected.error() };
--- a/Libraries/LibProxy/ServerConnections.h
+++ b/Libraries/LibProxy/ServerConnections.h
@@ -54,6 +54,7 @@
         Core::Duration maxAge { 0 };
         Core::TimePoint deadline;
         int watched { -1 };
+        int alarm { -1 };
     };
 
     Core::Result<ServerConnection, OpenError> open(Request const&);
--- a/Libraries/LibProxy/Socket.cpp
+++ b/Libraries/LibProxy/Socket.cpp
@@ -123,7 +123,8 @@
     setsockopt(descriptor_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
-Core::Result<Socket, ConnectFailure> connectTo(Core::Endpoint const& endpoint, Core::TimePoint deadline, int watched)
+Core::Result<Socket, ConnectFailure> connectTo(
+    Core::Endpoint const& endpoint, Core::TimePoint deadline, int watched, int alarm)
 {
     auto const address = toSocketAddress(endpoint);
     if (address.length == 0)
@@ -137,7 +138,8 @@
     if (errno != EINPROGRESS)
         return ConnectFailure {};
 
-    std::array<pollfd, 2> polled { pollfd { socket.descriptor(), POLLOUT, 0 }, pollfd { watched, POLLRDHUP, 0 } };
+    std::array<pollfd, 3> polled { pollfd { socket.descriptor(), POLLOUT, 0 }, pollfd { watched, POLLRDHUP, 0 },
+        pollfd { alarm, POLLIN, 0 } };
     if (!waitFor(polled, deadline))
         return ConnectFailure { .isTimeout = true };
     int error = 0;
--- a/Libraries/LibProxy/Socket.h
+++ b/Libraries/LibProxy/Socket.h
@@ -59,8 +59,9 @@
     bool isTimeout { false };
 };
 
-/// A new connection. Gives up at the deadline, or at once when the watched descriptor hangs up.
-Core::Result<Socket, ConnectFailure> connectTo(Core::Endpoint const&, Core::TimePoint deadline, int watched = -1);
+/// A new connection. Gives up at the deadline, or at once when the watched descriptor hangs up or `alarm` is readable.
+Core::Result<Socket, ConnectFailure> connectTo(
+    Core::Endpoint const&, Core::TimePoint deadline, int watched = -1, int alarm = -1);
 
 /// Waits until one of the descriptors is ready. False when the deadline passed.
 bool waitFor(std::span<pollfd>, Core::TimePoint deadline);
