End waits for permits and the control quorum when a stop says so

What callers would see: a request that waits for a permit or for the claim of its order when primroseshiftd stops is held until its own deadline, which may be after the end of the process, and gets no answer.

Cause: DispatchTable and RemoteOrderGate take the deadline of a request once, when the wait begins; the stop bounds it later. Nothing wakes the thread.

The waits of the daemon itself have no test in the repository; they compile and were read.

A permit that is granted later is given back, and an abandoned claim is told, as at the deadline of a request.

--- a/Services/Daemon/DispatchTable.cpp
+++ b/Services/Daemon/DispatchTable.cpp
@@ -27,16 +27,16 @@
             arrived_.notify_one();
             return true;
         }
-        std::optional<Policy::AcquireResult> waitUntil(Core::TimePoint deadline)
+        std::optional<Policy::AcquireResult> waitUntil(Core::TimePoint deadline, WaitLimit const& limit)
         {
             std::unique_lock lock(mutex_);
             while (!result_) {
-                auto const left = deadline - Core::BootClock::now();
+                auto const left = std::min(deadline, limit.value()) - Core::BootClock::now();
                 if (left <= Core::Duration::zero()) {
                     isAbandoned_ = true;
                     return std::nullopt;
                 }
-                arrived_.wait_for(lock, left);
+                arrived_.wait_for(lock, std::min(left, WaitLimit::checkInterval));
             }
             return std::move(result_);
         }
@@ -93,7 +93,7 @@
         } else if (!isRedirect(result)) {
             return result;
         }
-        if (Core::BootClock::now() + redirectDelay >= request.deadline)
+        if (Core::BootClock::now() + redirectDelay >= std::min(request.deadline, waitLimit_.value()))
             return Policy::Refusal { Policy::RefusalReason::DeadlineUnreachable, redirectDelay };
         std::this_thread::sleep_for(redirectDelay);
     }
@@ -146,7 +146,7 @@
     auto const ticket
         = group.acquire(request, [answer](Policy::AcquireResult result) { answer->set(std::move(result)); });
     // Ticks refuse the request at its deadline. Cancelling covers a control thread that is late.
-    if (auto result = answer->waitUntil(request.deadline + answerSlack))
+    if (auto result = answer->waitUntil(request.deadline + answerSlack, waitLimit_))
         return std::move(*result);
     group.cancel(ticket);
     return Policy::Refusal { Policy::RefusalReason::DeadlineUnreachable, redirectDelay };
@@ -180,7 +180,7 @@
     });
     if (!isPosted)
         return Policy::Refusal { Policy::RefusalReason::Cancelled };
-    if (auto result = answer->waitUntil(request.deadline + 2 * answerSlack))
+    if (auto result = answer->waitUntil(request.deadline + 2 * answerSlack, waitLimit_))
         return std::move(*result);
     return Policy::Refusal { Policy::RefusalReason::DeadlineUnreachable, redirectDelay };
 }
--- a/Services/Daemon/DispatchTable.h
+++ b/Services/Daemon/DispatchTable.h
@@ -2,6 +2,7 @@
 
 #include "HeldPermits.h"
 #include "ViewStore.h"
+#include "WaitLimit.h"
 
 #include <LibCore/Random.h>
 #include <LibRpc/Connections.h>
@@ -24,6 +25,7 @@
     Policy::AcquireResult acquire(Policy::AcquireRequest const&) override;
     void release(Core::PoolName const&, Core::ServerName const&, Policy::ReleaseReport const&) override;
     std::optional<Core::Duration> hedgeDelay(Core::PoolName const&, Core::RouteName const&) const override;
+    void endWaitsBy(Core::TimePoint limit) override { waitLimit_.set(limit); }
 
     // Called on the loop's thread.
 
@@ -66,6 +68,7 @@
     std::map<GroupId, std::shared_ptr<LocalGroup>> groups_;
     Core::TimePoint leaseUntil_;
     HeldPermits held_;
+    WaitLimit waitLimit_;
     /// By route, from the last permit that allowed a hedged attempt.
     tbb::concurrent_hash_map<std::string, Core::Duration> hedgeDelays_;
     mutable std::atomic<std::uint32_t> nextGroup_ { 0 };
--- a/Services/Daemon/RemoteOrderGate.cpp
+++ b/Services/Daemon/RemoteOrderGate.cpp
@@ -3,6 +3,7 @@
 #include <LibControl/Codec.h>
 #include <LibControl/WireTypes.h>
 
+#include <algorithm>
 #include <future>
 
 namespace Daemon {
@@ -36,6 +37,19 @@
             std::string(body.begin(), body.size()) };
     }
 
+    /// Whether the answer came before the deadline of the call, with the slack of its last attempt, or a stop.
+    template <typename T> bool waitFor(std::future<T>& answer, Core::TimePoint deadline, WaitLimit const& limit)
+    {
+        while (true) {
+            auto const end = std::min(deadline + waitSlack + attemptTimeout, limit.value());
+            auto const left = end - Core::BootClock::now();
+            if (answer.wait_for(std::min(left, WaitLimit::checkInterval)) == std::future_status::ready)
+                return true;
+            if (Core::BootClock::now() >= end)
+                return false;
+        }
+    }
+
     /// The result of a claim, or nothing when the claim has to be tried again.
     std::optional<Core::Result<Proxy::ClaimResult, Proxy::OrderGateUnavailable>> readClaim(
         Rpc::Wire::OrderReply::Reader reply)
@@ -80,8 +94,7 @@
             },
             [promise] { promise->set_value(Proxy::OrderGateUnavailable {}); });
     });
-    auto const left = deadline - Core::BootClock::now() + waitSlack + attemptTimeout;
-    if (isPosted && answer.wait_for(left) == std::future_status::ready) {
+    if (isPosted && waitFor(answer, deadline, waitLimit_)) {
         auto result = answer.get();
         if (!result)
             abandon(key, requestId);
@@ -162,8 +175,7 @@
     auto const confirmation = std::make_shared<Confirmation const>(
         Confirmation { pool, slot, epoch, deadline, [promise](ConfirmAnswer result) { promise->set_value(result); } });
     auto const isPosted = loop_.post([this, confirmation] { sendConfirm(confirmation); });
-    auto const left = deadline - Core::BootClock::now() + waitSlack + attemptTimeout;
-    if (!isPosted || answer.wait_for(left) != std::future_status::ready)
+    if (!isPosted || !waitFor(answer, deadline, waitLimit_))
         return Proxy::ConfirmError(Proxy::OrderGateUnavailable {});
     return answer.get();
 }
--- a/Services/Daemon/RemoteOrderGate.h
+++ b/Services/Daemon/RemoteOrderGate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LeaderLink.h"
+#include "WaitLimit.h"
 
 #include <LibControl/Command.h>
 #include <LibProxy/Collaborators.h>
@@ -28,6 +29,7 @@
     void markUnknown(Proxy::OrderKey const&, Core::RequestId) override;
     Core::Result<Core::Void, Proxy::ConfirmError> confirmOwner(
         Core::PoolName const&, Core::SlotNumber, Core::Epoch, Core::TimePoint deadline) override;
+    void endWaitsBy(Core::TimePoint limit) override { waitLimit_.set(limit); }
 
 private:
     using ClaimAnswer = Core::Result<Proxy::ClaimResult, Proxy::OrderGateUnavailable>;
@@ -54,6 +56,7 @@
     Core::Incarnation incarnation_;
     Rpc::EventLoop& loop_;
     LeaderLink& leader_;
+    WaitLimit waitLimit_;
 };
 
 } // namespace Daemon
--- a/Tests/LibProxy/Fixtures.h
+++ b/Tests/LibProxy/Fixtures.h
@@ -108,6 +108,8 @@
     void complete(Proxy::OrderKey const&, Core::RequestId, std::optional<Proxy::KeptAnswer>) override;
     void abandon(Proxy::OrderKey const&, Core::RequestId) override { record("abandon"); }
     void markUnknown(Proxy::OrderKey const&, Core::RequestId) override { record("markUnknown"); }
+    /// Of both interfaces.
+    void endWaitsBy(Core::TimePoint limit) override { waitLimit = limit.time_since_epoch(); }
     Core::Result<Core::Void, Proxy::ConfirmError> confirmOwner(
         Core::PoolName const&, Core::SlotNumber, Core::Epoch, Core::TimePoint) override;
     Core::Result<Proxy::AnnounceReply, Proxy::AnnounceRefusal> announce(Proxy::Announcement const&) override;
@@ -135,6 +137,8 @@
     std::function<Core::Result<Proxy::ClaimResult, Proxy::OrderGateUnavailable>()> onClaim;
     std::function<Core::Result<Core::Void, Proxy::ConfirmError>()> onConfirm;
     std::optional<Core::Duration> hedgeAfter;
+    /// Zero until the server asks to end the waits.
+    std::atomic<Core::Duration> waitLimit { Core::Duration::zero() };
     std::optional<Proxy::KeptAnswer> keptAnswer;
 
 private:
--- a/Tests/LibProxy/TestStop.cpp
+++ b/Tests/LibProxy/TestStop.cpp
@@ -13,6 +13,8 @@
 constexpr Core::Duration limit = 300ms;
 /// Work of this route has 60 s, so only the stop ends it in time.
 constexpr std::string_view postUpload = "POST /uploads/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+constexpr std::string_view postUploadOrder
+    = "POST /uploads/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody";
 constexpr std::string_view getUpload = "GET /uploads/1 HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// Never responds; ends when the proxy closes.
@@ -81,7 +83,7 @@
     FakeBackend backend(staySilent);
     Fixture const fixture({ &backend });
     auto peer = fixture.connect();
-    peer.send("POST /uploads/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k1\r\nContent-Length: 4\r\n\r\nbody");
+    peer.send(postUploadOrder);
     BOOST_TEST(eventually([&] { return backend.requests().size() == 1; }));
     BOOST_TEST(outcomeOf(answerAtStop(fixture, peer)) == "504 unknown deadline-exceeded");
     BOOST_TEST(fixture.control.countCalls("markUnknown") == 1U);
@@ -169,6 +171,37 @@
     BOOST_TEST(outcomeOf(answerAtStop(fixture, peer)) == "502 not-run connect-failed");
 }
 
+// Waits for permits and for the control quorum are outside of the server's threads, so it must ask for their end.
+BOOST_AUTO_TEST_CASE(RequestThatWaitsForAPermitOrAClaimIsRejectedAsNotRun)
+{
+    for (auto const* waitsFor : { "acquire", "claim" }) {
+        FakeBackend backend(staySilent);
+        Fixture fixture({ &backend });
+        auto const waitForLimit = [&] {
+            eventually([&] {
+                auto const waitLimit = fixture.control.waitLimit.load();
+                return waitLimit.count() != 0 && Core::BootClock::now().time_since_epoch() >= waitLimit;
+            });
+        };
+        fixture.control.onAcquire = [&](Policy::AcquireRequest const&) -> Policy::AcquireResult {
+            waitForLimit();
+            return Policy::Refusal { Policy::RefusalReason::DeadlineUnreachable, 1s };
+        };
+        fixture.control.onClaim = [&]() -> Core::Result<Proxy::ClaimResult, Proxy::OrderGateUnavailable> {
+            waitForLimit();
+            return Proxy::OrderGateUnavailable {};
+        };
+        auto peer = fixture.connect();
+        auto const isClaim = std::string_view(waitsFor) == "claim";
+        peer.send(isClaim ? postUploadOrder : postUpload);
+        BOOST_TEST(eventually([&] { return fixture.control.countCalls(waitsFor) == 1; }));
+        BOOST_TEST(fixture.server->drain(limit), waitsFor);
+        BOOST_TEST(
+            outcomeOf(peer.readMessage()) == (isClaim ? "503 not-run not-ready" : "503 not-run deadline-unreachable"));
+        BOOST_TEST(backend.requests().empty());
+    }
+}
+
 // An answer that the stop ends early must not look complete.
 BOOST_AUTO_TEST_CASE(AnswerThatWouldNotEndIsVisiblyTruncated)
 {
