End an answer without end at its deadline, also if its server never pauses

What callers see: an answer of a server that sends without a pause is passed on for longer than the request's deadline, and a stop does not end it; a refusal of such a kind holds its caller. Found by the tests below.

Cause: the deadline was looked at only in waits. A relay that is slower than its server, as with chunks of one byte, always finds bytes to read and never waits.

Evidence: TestEndlessAnswers.cpp.

Why this works: readBody compares the time with the deadline before it receives more. What has come is still decoded.

--- a/Libraries/LibProxy/Attempt.cpp
+++ b/Libraries/LibProxy/Attempt.cpp
@@ -193,6 +193,9 @@
             return fail(AttemptOutcome::ConnectionLost, Reason::ConnectionLost);
         if (decoded.value() > 0 || response_.isDone())
             return decoded.value();
+        // A server that sends without a pause never makes this thread wait, so the wait alone would not end it.
+        if (context_.hasPassed())
+            return fail(AttemptOutcome::TimedOut, Reason::DeadlineExceeded);
         auto const received = input_.receiveFrom(connection_->socket());
         if (received.status == IoStatus::WouldBlock) {
             // A response in progress has nothing more to write, so every event of the server's side is readable.
--- a/Libraries/LibProxy/RequestContext.h
+++ b/Libraries/LibProxy/RequestContext.h
@@ -60,6 +60,7 @@
 
     /// Every wait for the request ends by this time, which a stop moves forward.
     Core::TimePoint deadline() const { return std::min(callerDeadline, stopDeadline.value()); }
+    bool hasPassed() const { return Core::BootClock::now() >= deadline(); }
     /// Waits until one of the descriptors is ready. False when the given time or the deadline passed.
     bool waitFor(std::span<pollfd> polled, Core::TimePoint limit) const
     {
--- /dev/null
+++ b/Tests/LibProxy/TestEndlessAnswers.cpp
@@ -0,0 +1,240 @@
+#include "Fixtures.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+
+using namespace Test;
+
+/// Bytes that are no answer come from a backend server without end, until the proxy closes.
+BOOST_AUTO_TEST_SUITE(EndlessAnswers)
+
+namespace {
+
+/// Bounds a server that nobody closes; the callers' deadline is far before it.
+constexpr Core::Duration serverLimit = 4s;
+constexpr Core::Duration deadline = 500ms;
+/// From the deadline until a caller on a busy machine has seen its end.
+constexpr Core::Duration margin = 1s;
+constexpr std::size_t pieceBytes = 64UL * 1024;
+/// More than all buffers of one exchange, far less than a server sends until the deadline.
+constexpr std::size_t maxGrowth = 32UL * 1024 * 1024;
+constexpr std::string_view request
+    = "POST /uploads/1 HTTP/1.1\r\nHost: h\r\nPrimroseshift-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n";
+
+struct Server {
+    std::string beginning;
+    std::string repeated;
+    std::atomic<std::size_t> sent { 0 };
+    std::atomic<bool> wasClosed { false };
+
+    void operator()(Peer& peer, FakeBackend& backend)
+    {
+        auto const end = Core::BootClock::now() + serverLimit;
+        while (!repeated.empty() && repeated.size() < pieceBytes)
+            repeated += repeated;
+        backend.next(peer);
+        wasClosed = !peer.send(beginning);
+        while (!wasClosed && Core::BootClock::now() < end) {
+            wasClosed = !peer.send(repeated);
+            sent += repeated.size();
+        }
+    }
+};
+
+std::size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * 4096;
+}
+
+/// What a caller got that reads as fast as it can and keeps the last bytes only.
+struct Received {
+    std::string beginning;
+    std::string last;
+    std::size_t bytes { 0 };
+    Core::Duration time { 0 };
+    bool wasClosed { false };
+    bool wasReset { false };
+    std::size_t growth { 0 };
+};
+
+Received readToEnd(Peer& peer)
+{
+    Received result;
+    auto const begin = Core::BootClock::now();
+    auto const end = begin + serverLimit;
+    auto const before = residentBytes();
+    std::vector<char> buffer(pieceBytes);
+    while (Core::BootClock::now() < end) {
+        pollfd polled { peer.socket().descriptor(), POLLIN, 0 };
+        if (!Proxy::waitFor({ &polled, 1 }, end))
+            break;
+        auto const received = peer.socket().receive(buffer);
+        result.wasClosed = received.status == Proxy::IoStatus::Closed || received.status == Proxy::IoStatus::Failed;
+        result.wasReset = received.status == Proxy::IoStatus::Failed;
+        if (result.wasClosed)
+            break;
+        result.bytes += received.bytes;
+        std::string_view const piece(buffer.data(), received.bytes);
+        if (result.beginning.size() < 1024)
+            result.beginning.append(piece);
+        result.last.append(piece);
+        if (result.last.size() > 64)
+            result.last.erase(0, result.last.size() - 64);
+        result.growth = std::max(result.growth, residentBytes() - std::min(before, residentBytes()));
+    }
+    result.time = Core::BootClock::now() - begin;
+    return result;
+}
+
+/// The caller must have a whole rejection with outcome `unknown`, and the server's connection must be closed.
+void checkIsGivenUp(std::string beginning, std::string repeated)
+{
+    Server server { std::move(beginning), std::move(repeated) };
+    FakeBackend backend([&](Peer& peer, FakeBackend& self) { server(peer, self); });
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    auto const before = residentBytes();
+    auto const begin = Core::BootClock::now();
+    peer.send(request);
+    auto const answer = peer.readMessage();
+    BOOST_TEST((Core::BootClock::now() - begin < deadline + margin));
+    BOOST_TEST(residentBytes() < before + maxGrowth);
+    BOOST_REQUIRE(!answer.empty());
+    BOOST_TEST(headerOf(answer, "Primroseshift-Outcome") == "unknown");
+    BOOST_TEST(!peer.wasTruncated());
+    BOOST_TEST(eventually([&] { return server.wasClosed.load(); }));
+    BOOST_TEST(backend.requests().size() == 1U);
+    BOOST_TEST(fixture.control.allPermitsReleased());
+}
+
+/// The caller's connection must end at its deadline with an answer that does not look complete.
+void checkIsCutOffAtTheDeadline(std::string beginning, std::string repeated, std::string_view text = request)
+{
+    Server server { std::move(beginning), std::move(repeated) };
+    FakeBackend backend([&](Peer& peer, FakeBackend& self) { server(peer, self); });
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    peer.send(text);
+    auto const received = readToEnd(peer);
+    BOOST_TEST_MESSAGE(
+        received.bytes << " bytes in " << received.time.count() / 1'000'000 << " ms, memory +" << received.growth);
+    BOOST_TEST(received.wasClosed);
+    BOOST_TEST((received.time < deadline + margin));
+    BOOST_TEST(!received.last.ends_with("0\r\n\r\n"));
+    BOOST_TEST(received.growth < maxGrowth);
+    if (text.find("HTTP/1.0") != std::string_view::npos)
+        BOOST_TEST(received.wasReset);
+    BOOST_TEST(eventually([&] { return server.wasClosed.load(); }));
+    BOOST_TEST(fixture.control.allPermitsReleased());
+    BOOST_TEST(eventually([&] { return fixture.control.records().size() == 1; }));
+    BOOST_TEST(fixture.control.records().at(0).isTruncated);
+}
+
+/// A refusal is read to its end before the caller is told, or the request goes elsewhere.
+void checkRefusalIsGivenUp(std::string beginning, std::string repeated)
+{
+    Server server { std::move(beginning), std::move(repeated) };
+    FakeBackend backend([&](Peer& peer, FakeBackend& self) { server(peer, self); });
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    auto const begin = Core::BootClock::now();
+    peer.send(request);
+    auto const answer = peer.readMessage();
+    BOOST_TEST((Core::BootClock::now() - begin < deadline + margin));
+    BOOST_REQUIRE(!answer.empty());
+    BOOST_TEST(outcomeOf(answer) == "503 not-run server-refused");
+    BOOST_TEST(eventually([&] { return server.wasClosed.load(); }));
+}
+
+constexpr auto chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(BytesWithoutAHeadAreGivenUp) { checkIsGivenUp("", "x"); }
+
+BOOST_AUTO_TEST_CASE(EmptyLinesWithoutEndAreGivenUp) { checkIsGivenUp("", "\r\n"); }
+
+BOOST_AUTO_TEST_CASE(AStatusLineWithoutEndIsGivenUp) { checkIsGivenUp("HTTP/1.1 200 ", "OK"); }
+
+BOOST_AUTO_TEST_CASE(AHeadWithoutEndIsGivenUp) { checkIsGivenUp("HTTP/1.1 200 OK\r\n", "Field: value\r\n"); }
+
+BOOST_AUTO_TEST_CASE(AFieldWithoutEndIsGivenUp) { checkIsGivenUp("HTTP/1.1 200 OK\r\nField: ", "value"); }
+
+BOOST_AUTO_TEST_CASE(AChunkHeaderWithoutEndIsGivenUp) { checkIsGivenUp(chunkedHead, "0"); }
+
+BOOST_AUTO_TEST_CASE(AChunkExtensionWithoutEndIsGivenUp)
+{
+    checkIsGivenUp(std::string(chunkedHead) + "5;", "extension");
+}
+
+BOOST_AUTO_TEST_CASE(ATrailerWithoutEndIsGivenUp)
+{
+    checkIsGivenUp(std::string(chunkedHead) + "0\r\n", "Field: value\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(ATrailerWithoutEndBehindABodyIsCutOff)
+{
+    checkIsCutOffAtTheDeadline(std::string(chunkedHead) + "5\r\nhello\r\n0\r\n", "Field: value\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(ABodyOfChunksWithoutEndIsCutOffAtTheDeadline)
+{
+    checkIsCutOffAtTheDeadline(chunkedHead, "10\r\n0123456789abcdef\r\n");
+}
+
+// The proxy is slower than such a server, so there is always a chunk that can be read at once.
+BOOST_AUTO_TEST_CASE(ABodyOfTinyChunksWithoutEndIsCutOffAtTheDeadline)
+{
+    checkIsCutOffAtTheDeadline(chunkedHead, "1\r\nx\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(ABodyOfGreatLengthIsCutOffAtTheDeadline)
+{
+    checkIsCutOffAtTheDeadline("HTTP/1.1 200 OK\r\nContent-Length: 1000000000000000\r\n\r\n", "x");
+}
+
+BOOST_AUTO_TEST_CASE(ABodyUntilTheCloseWithoutEndIsCutOffAtTheDeadline)
+{
+    checkIsCutOffAtTheDeadline("HTTP/1.1 200 OK\r\n\r\n", "x");
+}
+
+BOOST_AUTO_TEST_CASE(ABodyWithoutEndForAnOldCallerIsCutOffByAReset)
+{
+    checkIsCutOffAtTheDeadline("HTTP/1.1 200 OK\r\n\r\n", "x",
+        "POST /uploads/1 HTTP/1.0\r\nHost: h\r\nPrimroseshift-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalWithoutEndIsGivenUp)
+{
+    checkRefusalIsGivenUp("HTTP/1.1 503 X\r\nPrimroseshift-Outcome: not-run\r\n\r\n", "x");
+}
+
+BOOST_AUTO_TEST_CASE(ARefusalOfTinyChunksWithoutEndIsGivenUp)
+{
+    checkRefusalIsGivenUp(
+        "HTTP/1.1 503 X\r\nPrimroseshift-Outcome: not-run\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n");
+}
+
+// The stop bounds the deadlines; a body without end must see that.
+BOOST_AUTO_TEST_CASE(ABodyWithoutEndIsCutOffByAStop)
+{
+    Server server { chunkedHead, "1\r\nx\r\n" };
+    FakeBackend backend([&](Peer& peer, FakeBackend& self) { server(peer, self); });
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    peer.send("GET /uploads/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    Received received;
+    std::thread reader([&] { received = readToEnd(peer); });
+    BOOST_TEST(eventually([&] { return server.sent > pieceBytes; }));
+    BOOST_TEST(fixture.server->drain(400ms));
+    reader.join();
+    BOOST_TEST(received.wasClosed);
+    BOOST_TEST(!received.last.ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
