End an upload without end at its deadline, also if its caller never pauses

What callers and servers see: an upload whose caller always has bytes more is passed on for longer than the deadline of the request, and holds the server's permit; a stop does not end it.

Cause: sendRemainingBody looked at the deadline only in waits, and a thread that always finds bytes to read never waits.

Whether it fails without the check depends on which side is faster.

Why this works: each piece is compared with the deadline before it is sent. The request ends as unknown, and nothing is said about the server, as for a caller that is slow with its body.

--- a/Libraries/LibProxy/Attempt.cpp
+++ b/Libraries/LibProxy/Attempt.cpp
@@ -114,6 +114,9 @@
                 return Core::Void {};
             continue;
         }
+        // A caller that sends without a pause never makes this thread wait.
+        if (context_.hasPassed())
+            return fail(AttemptOutcome::Cancelled, Reason::DeadlineExceeded);
         auto const data = std::string_view(buffer.data(), piece.value());
         auto const frame = isChunked ? chunkHeader(data.size()) : std::string();
         if (!TRY(sendPiece(frame, data)) || (isChunked && !TRY(sendPiece("\r\n", {}))))
--- a/Tests/LibProxy/TestEndlessAnswers.cpp
+++ b/Tests/LibProxy/TestEndlessAnswers.cpp
@@ -220,6 +220,28 @@
         "HTTP/1.1 503 X\r\nPrimroseshift-Outcome: not-run\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n");
 }
 
+// The same from the other side: a caller that always has a chunk more.
+BOOST_AUTO_TEST_CASE(AnUploadOfTinyChunksWithoutEndIsCutOffAtTheDeadline)
+{
+    FakeBackend backend([](Peer& peer, FakeBackend&) { readToEnd(peer); });
+    Fixture const fixture({ &backend });
+    auto peer = fixture.connect();
+    auto const begin = Core::BootClock::now();
+    peer.send("POST /uploads/1 HTTP/1.1\r\nHost: h\r\nPrimroseshift-Deadline-Ms: 500\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n");
+    std::string chunks;
+    while (chunks.size() < pieceBytes)
+        chunks += "1\r\nx\r\n";
+    std::thread sender([&] {
+        while (Core::BootClock::now() < begin + serverLimit && peer.send(chunks)) { }
+    });
+    BOOST_TEST(eventually([&] { return fixture.control.records().size() == 1; }));
+    BOOST_TEST((Core::BootClock::now() - begin < deadline + 2 * margin));
+    BOOST_TEST((fixture.control.records().at(0).reason == Proxy::Reason::DeadlineExceeded));
+    BOOST_TEST(fixture.control.records().at(0).status == 504);
+    sender.join();
+}
+
 // The stop bounds the deadlines; a body without end must see that.
 BOOST_AUTO_TEST_CASE(ABodyWithoutEndIsCutOffByAStop)
 {
