Give up on a server that sends informational answers without end

What callers see: a request at a server that sends informational answers without end gets no answer at its deadline, and its thread and permit are held until the server stops.

Cause: readHead skipped informational answers without a bound, and does not look at the deadline while bytes come.

Evidence: InformationalAnswersWithoutEndAreGivenUp (no answer within 1 s after the deadline of 0.5 s; none at all in the run under the thread sanitizer) and MoreInformationalAnswersThanAnyServerNeedsAreGivenUp (504 at the deadline instead of 502) failed, and pass now.

Why this works: the ninth ends the attempt as a lost connection, as in LibNet.

--- a/Libraries/LibProxy/Attempt.cpp
+++ b/Libraries/LibProxy/Attempt.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr std::size_t bodyPieceBytes = 64UL * 1024;
+    /// Interim responses to one request. A sound server sends one or two; LibNet has the same bound.
+    constexpr std::uint32_t maxInterimResponses = 8;
 
     MessageReader responseReader(Environment const& environment, RequestContext const& context)
     {
@@ -176,7 +178,7 @@
         auto complete = response_.readHead(input_);
         while (!complete.isError() && complete.value() && response_.head().status / 100 == 1) {
             // Interim responses are for this hop only. An upgrade was never asked for.
-            if (response_.head().status == 101)
+            if (response_.head().status == 101 || ++interimResponses_ > maxInterimResponses)
                 return fail(AttemptOutcome::ConnectionLost, Reason::ConnectionLost);
             response_ = responseReader(environment_, context_);
             complete = response_.readHead(input_);
--- a/Libraries/LibProxy/Attempt.h
+++ b/Libraries/LibProxy/Attempt.h
@@ -86,6 +86,7 @@
     MessageReader response_;
     Core::TimePoint sentAt_;
     Core::Duration latency_ { 0 };
+    std::uint32_t interimResponses_ { 0 };
     bool isSent_ { false };
     bool isBodySent_ { false };
     bool isFinished_ { false };
--- a/Tests/LibProxy/TestEndlessAnswers.cpp
+++ b/Tests/LibProxy/TestEndlessAnswers.cpp
@@ -165,6 +165,25 @@
 
 BOOST_AUTO_TEST_CASE(AFieldWithoutEndIsGivenUp) { checkIsGivenUp("HTTP/1.1 200 OK\r\nField: ", "value"); }
 
+// Trickled, so that each one comes alone.
+BOOST_AUTO_TEST_CASE(MoreInformationalAnswersThanAnyServerNeedsAreGivenUp)
+{
+    FakeBackend backend([](Peer& peer, FakeBackend& self) {
+        self.next(peer);
+        auto const end = Core::BootClock::now() + serverLimit;
+        while (Core::BootClock::now() < end && peer.send("HTTP/1.1 103 Early Hints\r\n\r\n"))
+            std::this_thread::sleep_for(5ms);
+    });
+    Fixture const fixture({ &backend });
+    auto const answer = fixture.request(request);
+    BOOST_TEST(outcomeOf(answer) == "502 unknown connection-lost");
+}
+
+BOOST_AUTO_TEST_CASE(InformationalAnswersWithoutEndAreGivenUp)
+{
+    checkIsGivenUp("", "HTTP/1.1 103 Early Hints\r\n\r\n");
+}
+
 BOOST_AUTO_TEST_CASE(AChunkHeaderWithoutEndIsGivenUp) { checkIsGivenUp(chunkedHead, "0"); }
 
 BOOST_AUTO_TEST_CASE(AChunkExtensionWithoutEndIsGivenUp)
