--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -182,7 +182,8 @@
     BOOST_TEST(receiver.answers == 1);
 }
 
-// The memory of a body used to double as it grew: 13 MB took more than the 24 MiB for all answers, and the answer was given up.
+// The memory of a body used to double as it grew: 13 MB took more than the 24 MiB for all answers, and the answer was
+// given up.
 BOOST_AUTO_TEST_CASE(AnAnswerThatIsReadAloneIsNotGivenUpForTheMemoryOfAll)
 {
     EventLoop loop;
@@ -194,8 +195,7 @@
     // Doubled eleven times, these and the next read take a little more than half of the budget.
     constexpr std::size_t firstBytes = 6150 - readBytes;
     auto const head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
-    PiecewiseServer server(
-        loop, { head + std::string(firstBytes, 'a'), std::string(bodyBytes - firstBytes, 'a') });
+    PiecewiseServer server(loop, { head + std::string(firstBytes, 'a'), std::string(bodyBytes - firstBytes, 'a') });
     AnswerReceiver receiver;
     HttpClient client(loop, receiver, server.address, settings);
     client.send(requestOf(10), false);
