--- a/Tests/Ctl/TestCtl.cpp
+++ b/Tests/Ctl/TestCtl.cpp
@@ -1,5 +1,5 @@
 #include "../LibOperator/FakeService.h"
-#include "../LibTelemetry/TemporaryFolder.h"
+#include "../Support/TemporaryFolder.h"
 
 #include <LibOperator/OperatorServer.h>
 #include <LibTelemetry/SpanWriter.h>
