--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -317,6 +317,7 @@
 
 void HttpServer::drop(std::uint64_t connection)
 {
+    sending_.erase(connection);
     auto node = connections_.extract(connection);
     if (node.empty())
         return;
@@ -335,8 +336,7 @@
 {
     std::uint64_t bytes = 0;
     std::erase_if(sending_, [&](auto const id) {
-        auto const found = connections_.find(id);
-        auto const unsent = found == connections_.end() ? 0 : found->second->unsentBytes();
+        auto const unsent = connections_.at(id)->unsentBytes();
         bytes += unsent;
         return unsent == 0;
     });
