Let a closed connection outlive its server

What it could do: a connection that was closed while its loop had stopped is destroyed with the loop, after the server that it belongs to, and read the server's memory then. In the programs the loop ends its turn before the server goes, so that no process did it; tests that close connections outside of a turn did.

Cause: the destructor of a connection cancelled its timer through the server.

Why this works: closing does all that needs the server; the destructor does it only for connections that were never closed.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -57,14 +57,17 @@
 
     ~Connection() override
     {
-        server_.loop_.cancel(timer_);
-        releaseBody();
+        if (!isShutDown_)
+            shutDown();
     }
 
-    /// No event follows, although the object lives until the end of the turn.
+    /// Neither event nor access to the server follows, although the object lives until the end of the turn, or as long
+    /// as a loop that has stopped.
     void shutDown()
     {
+        isShutDown_ = true;
         server_.loop_.cancel(timer_);
+        releaseBody();
         if (stream_.isOpen() && stream_.pendingBytes() > 0)
             server_.handler_.onAnswerCutOff({ id_, exchange_ }, stream_.pendingBytes());
         stream_.close();
@@ -275,6 +278,7 @@
     HttpServer& server_;
     std::uint64_t id_;
     Stream stream_;
+    bool isShutDown_ { false };
     Phase phase_ { Phase::Head };
     /// Bytes of the next request have arrived.
     bool hasStarted_ { false };
