Let the backend of a test read its request to the end

Cause: the test's backend counted the head of the request as body bytes, so that it could stop with up to a head's size unread, send its answer and close; a socket that is closed with bytes unread is reset, and what waits in its send buffer is lost. The proxy relays what it gets.

The backend reads the head, and then exactly the body.

--- a/Tests/LibProxy/TestStreams.cpp
+++ b/Tests/LibProxy/TestStreams.cpp
@@ -22,11 +22,10 @@
     return resident * 4096;
 }
 
-/// Reads and discards a number of body bytes.
-std::size_t discard(Peer& peer, std::size_t bytes)
+/// Reads and discards a number of body bytes, after as many that were read before.
+std::size_t discard(Peer& peer, std::size_t bytes, std::size_t count = 0)
 {
     std::vector<char> buffer(pieceBytes);
-    std::size_t count = 0;
     while (count < bytes) {
         pollfd polled { peer.socket().descriptor(), POLLIN, 0 };
         if (!Proxy::waitFor({ &polled, 1 }, Core::BootClock::now() + 5s))
@@ -39,6 +38,24 @@
     return count;
 }
 
+/// Reads a request to its very end: a connection that is closed with bytes unread is reset, and what it was sent is
+/// lost. Returns the size of the body.
+std::size_t discardRequest(Peer& peer, std::size_t bodyBytes)
+{
+    std::string head;
+    std::vector<char> buffer(pieceBytes);
+    while (head.find("\r\n\r\n") == std::string::npos) {
+        pollfd polled { peer.socket().descriptor(), POLLIN, 0 };
+        if (!Proxy::waitFor({ &polled, 1 }, Core::BootClock::now() + 5s))
+            return 0;
+        auto const received = peer.socket().receive(buffer);
+        if (received.status != Proxy::IoStatus::Done)
+            return 0;
+        head.append(buffer.data(), received.bytes);
+    }
+    return discard(peer, bodyBytes, head.size() - head.find("\r\n\r\n") - 4);
+}
+
 std::string lengthField(std::size_t bytes) { return "Content-Length: " + std::to_string(bytes) + "\r\n\r\n"; }
 
 } // namespace
@@ -48,7 +65,7 @@
     std::atomic<std::size_t> uploaded { 0 };
     FakeBackend backend([&](Peer& peer, FakeBackend&) {
         std::string const piece(pieceBytes, 'x');
-        uploaded = discard(peer, largeBytes);
+        uploaded = discardRequest(peer, largeBytes);
         peer.send("HTTP/1.1 200 OK\r\n" + lengthField(largeBytes));
         for (std::size_t sent = 0; sent < largeBytes; sent += piece.size())
             peer.send(piece);
