Do not cut off callers that accept no bytes for some seconds

Cause: the kernel applies TCP_USER_TIMEOUT (3 s) also while a caller's receive window is closed. A caller that paused, or read slowly on a busy machine, lost the rest of its answer. Change: the timeout of callers' connections is the longest time that an answer may take to send, 60 s.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -25,6 +25,15 @@
     /// 16 MiB, the largest answer that an entry host holds, take 32 s on a link of 4.2 Mbit/s.
     constexpr Core::Duration maxSendTime = std::chrono::seconds(60);
 
+    StreamSettings callerStreamSettings()
+    {
+        StreamSettings settings;
+        // The kernel also applies this timeout while a caller that is alive accepts no bytes, so it must not be shorter
+        // than an answer may take.
+        settings.silenceTimeout = maxSendTime;
+        return settings;
+    }
+
     bool mayHaveBody(std::uint16_t status) { return status != statusNoContent && status != statusNotModified; }
 
 } // namespace
@@ -50,7 +59,7 @@
     Connection(HttpServer& server, std::uint64_t id, int fd)
         : server_(server)
         , id_(id)
-        , stream_(server.loop_, *this, fd, {})
+        , stream_(server.loop_, *this, fd, callerStreamSettings())
     {
         restartTimer(server_.limits_.idleTimeout);
     }
@@ -267,7 +276,7 @@
             refuse(statusRequestTimeout);
             return;
         }
-        // The answer is not sent yet. A caller that takes nothing of it is ended by the silence timeout of its stream.
+        // The answer is not sent yet.
         if (stream_.pendingBytes() > 0 && server_.loop_.now() < sendsUntil_) {
             restartTimer(phase_ == Phase::Lingering ? lingerTimeout : server_.limits_.idleTimeout);
             return;
--- a/Libraries/LibNet/Stream.h
+++ b/Libraries/LibNet/Stream.h
@@ -38,7 +38,8 @@
 struct StreamSettings {
     /// Bytes that may wait to be consumed; reading pauses beyond that.
     std::size_t maxInputBytes { 256UL * 1024 };
-    /// How long a connection may be established, and how long sent bytes may stay unacknowledged.
+    /// How long establishing a connection may take, and how long sent bytes may stay unacknowledged or the peer may
+    /// accept none.
     Core::Duration silenceTimeout { std::chrono::seconds(3) };
 };
 
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -220,6 +220,18 @@
     BOOST_TEST(echo.cutOff == 0);
 }
 
+// The kernel's timeout for unacknowledged bytes also ran while the caller's receive window was closed. A caller that
+// paused for longer, or that read slowly on a busy machine, lost the rest of its answer.
+BOOST_AUTO_TEST_CASE(ACallerThatReadsNothingForSomeSecondsGetsItsWholeAnswer)
+{
+    echo.body.assign(32UL << 20, 'a');
+    SlowCaller caller(address);
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 1; }));
+    runFor(loop, 5s);
+    BOOST_TEST(caller.readAnswer(loop, echo.body.size()));
+    BOOST_TEST(echo.cutOff == 0);
+}
+
 BOOST_AUTO_TEST_CASE(AConnectionWhoseAnswerIsStillBeingSentIsNotIdle)
 {
     echo.body.assign(32UL << 20, 'a');
