Tell entry hosts how busy servers are, and admit returning callers

Cause: an entry host knew a server's load from its own answers only. A caller that returned after a refusal was judged by the target latency of a first attempt, and refused again. Change: entry hosts pass the load reports of servers on; the leader averages them (OccupancyEstimates) and distributes noticeable changes with the service time, three numbers a server. CallerPatience recognizes returning callers, which may queue until three quarters of their remaining time.

--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -376,6 +376,8 @@
         Fleet::addServer(update_, replica_.state(), *coordinator_, number, now);
     auto rows = coordinator_->takeRows();
     std::ranges::move(rows, std::back_inserter(update_.ranges.rows));
+    auto occupancies = coordinator_->takeOccupancyChanges();
+    std::ranges::move(occupancies, std::back_inserter(update_.occupancies.rows));
     if (coordinator_->hasNewQuarantine())
         update_.quarantined = coordinator_->quarantined(now);
     if (update_.isEmpty())
--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -2,6 +2,7 @@
 #include <LibFleet/View.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Fleet {
 
@@ -284,8 +285,10 @@
         if (server)
             lastJoin_[server->pool] = now;
     }
-    for (auto const number : applied.removedServers)
+    for (auto const number : applied.removedServers) {
         confirmSuspicions(number, now);
+        occupancies_.remove(number);
+    }
     if (!applied.removedServers.empty()) {
         for (auto& [pool, states] : ranges_) {
             for (auto const& range : state_.keyRanges(pool))
@@ -386,6 +389,10 @@
         server.meanMs = sum / server.answers;
         server.answers = std::min(server.answers, averagedAnswers);
     }
+    for (auto const& occupancy : report.occupancies) {
+        if (state_.findServer(occupancy.server))
+            occupancies_.add(occupancy.server, occupancy.reports, occupancy.requests);
+    }
     for (auto const& suspicion : report.suspicions)
         suspicions_[suspicion.server].push_back({ suspicion.fingerprint, now });
 }
@@ -419,6 +426,8 @@
     if (isDue) {
         lastBalance_ = now;
         updateLoads();
+        occupancies_.advance();
+        haveOccupanciesAdvanced_ = true;
     }
     for (auto const& [name, pool] : state_.pools()) {
         if (!pool.item || !pool.item->isKeyDivided)
@@ -441,6 +450,25 @@
 
 std::vector<ServerNumber> Coordinator::takeColdChanges() { return std::exchange(coldChanges_, {}); }
 
+std::vector<ServerOccupancy> Coordinator::takeOccupancyChanges()
+{
+    if (!std::exchange(haveOccupanciesAdvanced_, false))
+        return {};
+    return withServiceTimes(occupancies_.takeChanges());
+}
+
+std::vector<ServerOccupancy> Coordinator::allOccupancies() const { return withServiceTimes(occupancies_.all()); }
+
+std::vector<ServerOccupancy> Coordinator::withServiceTimes(std::vector<ServerOccupancy> occupancies) const
+{
+    for (auto& occupancy : occupancies) {
+        auto const server = servers_.find(occupancy.server);
+        if (server != servers_.end())
+            occupancy.serviceMs = static_cast<std::uint32_t>(std::lround(server->second.meanMs));
+    }
+    return occupancies;
+}
+
 std::vector<RangeRow> Coordinator::allRows() const
 {
     std::vector<RangeRow> rows;
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibFleet/OccupancyEstimates.h>
 #include <LibFleet/OverloadShares.h>
 #include <LibFleet/RangePlacement.h>
 #include <LibFleet/State.h>
@@ -77,16 +78,26 @@
         /// The number of connection attempts that failed because nothing listened at the server's address.
         std::uint32_t refusals { 0 };
     };
+    /// What a server stated about its load in its answers since the last report.
+    struct Occupancy {
+        ServerNumber server { 0 };
+        std::uint32_t reports { 0 };
+        /// The sum of the running and waiting requests that the server stated.
+        std::uint32_t requests { 0 };
+    };
     std::vector<Arrivals> arrivals;
     std::vector<Contact> contacts;
     std::vector<Latency> latencies;
     std::vector<Suspicion> suspicions;
+    std::vector<Occupancy> occupancies;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Arrivals, pool, keys)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Latency, server, answers, sumMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Suspicion, fingerprint, server)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Contact, server, answers, refusals)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport, arrivals, contacts, latencies, suspicions)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Occupancy, server, reports, requests)
+// An entry host of an earlier version sends no occupancies.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(LoadReport, arrivals, contacts, latencies, suspicions, occupancies)
 
 /// The owner to which entry hosts send requests for a key range. While there is no owner, they queue or reject
 /// requests.
@@ -129,6 +140,9 @@
     std::vector<RangeRow> allRows() const;
     /// Returns and clears the servers that became cold or warm.
     std::vector<ServerNumber> takeColdChanges();
+    /// Returns the estimated occupancies that entry hosts need to learn. The estimates change every half second.
+    std::vector<ServerOccupancy> takeOccupancyChanges();
+    std::vector<ServerOccupancy> allOccupancies() const;
     Core::Duration remainingColdTime(ServerNumber, Core::TimePoint now) const;
     /// Returns the fingerprints of requests that crashed several servers.
     std::vector<std::string> quarantined(Core::TimePoint now) const;
@@ -208,6 +222,7 @@
     std::vector<PlacementServer> placementServers(
         Core::PoolName const&, Core::TimePoint now, Core::TimePoint from) const;
     double meanServiceSeconds(Core::PoolName const&) const;
+    std::vector<ServerOccupancy> withServiceTimes(std::vector<ServerOccupancy>) const;
     void plan(Core::TimePoint now);
     void planPool(PoolItem const&, Core::TimePoint now);
     /// Plans only the ranges of one server, so that the cost of a heartbeat is bounded by the ranges of its sender.
@@ -244,11 +259,13 @@
     /// Requests per second by key, for keys with recent requests.
     std::map<Core::PoolName, std::map<std::uint32_t, double>> keyLoads_;
     std::map<Core::PoolName, std::map<std::uint32_t, std::uint32_t>> keyArrivals_;
+    OccupancyEstimates occupancies_;
     Command pending_;
     std::vector<RangeRow> rows_;
     std::vector<ServerNumber> coldChanges_;
     Core::TimePoint lastBalance_;
     bool wasSplit_ { false };
+    bool haveOccupanciesAdvanced_ { false };
     std::unordered_map<ServerNumber, std::vector<Suspicion>> suspicions_;
     Policy::CrashTracker crashes_;
     std::map<Core::Digest, std::string> fingerprints_;
--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -206,6 +206,8 @@
     putUnlessEmpty(out, "removedServers", update.removedServers);
     if (!update.ranges.rows.empty())
         out["ranges"] = update.ranges;
+    if (!update.occupancies.rows.empty())
+        out["occupancies"] = update.occupancies;
     putIfSet(out, "quarantined", update.quarantined);
     putIfSet(out, "entryHosts", update.entryHosts);
 }
@@ -223,6 +225,7 @@
     readIfPresent(in, "servers", update.servers);
     readIfPresent(in, "removedServers", update.removedServers);
     readIfPresent(in, "ranges", update.ranges);
+    readIfPresent(in, "occupancies", update.occupancies);
     readOptionalIfPresent(in, "quarantined", update.quarantined);
     readOptionalIfPresent(in, "entryHosts", update.entryHosts);
 }
@@ -230,7 +233,7 @@
 bool ViewUpdate::isEmpty() const
 {
     return !isWhole && itemRevision == 0 && routes.empty() && pools.empty() && !limits && !evacuated && servers.empty()
-        && removedServers.empty() && ranges.rows.empty() && !quarantined && !entryHosts;
+        && removedServers.empty() && ranges.rows.empty() && occupancies.rows.empty() && !quarantined && !entryHosts;
 }
 
 void addServer(
@@ -256,6 +259,7 @@
     for (auto const& [number, server] : state.servers())
         addServer(update, state, coordinator, number, now);
     update.ranges.rows = coordinator.allRows();
+    update.occupancies.rows = coordinator.allOccupancies();
     update.quarantined = coordinator.quarantined(now);
     return update;
 }
--- a/Libraries/LibFleet/View.h
+++ b/Libraries/LibFleet/View.h
@@ -54,6 +54,7 @@
     std::vector<ServerRow> servers;
     std::vector<ServerNumber> removedServers;
     RangeRows ranges;
+    ServerOccupancies occupancies;
     std::optional<std::vector<std::string>> quarantined;
     /// The sorted names of the entry hosts that share the limits of the fleet.
     std::optional<std::vector<std::string>> entryHosts;
--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -13,6 +13,9 @@
     /// Queue places that a request may not use for each priority step below the most urgent, as a fraction of the
     /// slots.
     constexpr double reservedPerPriorityStep = 0.25;
+    /// Fraction of the remaining time of a returning caller that queueing and service may be expected to take. Service
+    /// times vary, and the answer of a request that misses its deadline is lost.
+    constexpr double maxReturningFraction = 0.75;
     constexpr std::int32_t maxPriorityStep = 3;
     constexpr Core::Duration minRetryAfter = std::chrono::milliseconds(60);
     constexpr Core::Duration maxRetryAfter = std::chrono::seconds(2);
@@ -30,6 +33,8 @@
     /// The longest queueing delay plus service time that a queued request may have.
     Core::Duration waitLimit(AdmissionQuery const& query)
     {
+        if (query.isReturning)
+            return std::chrono::duration_cast<Core::Duration>(query.remaining * maxReturningFraction);
         // A request that has exceeded its target latency may use half of its remaining time.
         return query.remainingToTarget > Core::Duration::zero() ? query.remainingToTarget : query.remaining / 2;
     }
@@ -61,7 +66,8 @@
     auto const wait = server.expectedWait(now);
     auto const needed
         = wait + std::chrono::duration_cast<Core::Duration>(server.serviceTime() * minServiceTimeFraction);
-    auto const reserved = reservedPerPriorityStep * priorityStep(query.priority) * server.slots();
+    auto const reserved
+        = query.isReturning ? 0.0 : reservedPerPriorityStep * priorityStep(query.priority) * server.slots();
     auto const limit = wait > Core::Duration::zero() ? std::min(query.remaining, waitLimit(query)) : query.remaining;
     if (server.hasRoom(now, reserved) && needed <= limit)
         return std::nullopt;
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -14,6 +14,8 @@
     Core::Duration remainingToTarget {};
     /// The priority of the route; zero is the most urgent.
     std::int32_t priority { 0 };
+    /// Whether the caller was refused before, so that another refusal probably ends its attempts.
+    bool isReturning { false };
     /// A random number, uniform in [0, 1), that spreads the retries of refused callers over time.
     double jitter { 0 };
 };
@@ -29,7 +31,8 @@
 /// deadline is refused before it is queued, so that queue places hold only requests whose callers still wait. A request
 /// that finds no free slot is queued only if its answer is expected within the target latency: under sustained overload
 /// a longer queue delays every answer and does not raise the throughput. Less urgent requests may use fewer queue
-/// places, so that they are refused first, but always some.
+/// places, so that they are refused first, but always some. A caller that returns after a refusal may use the queue up
+/// to its deadline, so that it is not refused again while callers that came later are admitted.
 class Admission {
 public:
     /// Returns the refusal, or nothing if the request may be sent.
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -109,7 +109,11 @@
     deadline_ = request_.startedAt + limit;
     if (gateway_.drainDeadline_)
         deadline_ = std::min(deadline_, *gateway_.drainDeadline_);
-    targetTime_ = request_.startedAt + std::chrono::milliseconds(route->targetLatencyMs);
+    auto const elapsed = metadata_.timeLeft
+        ? gateway_.patience_[route_].timeSinceFirstAttempt(request_.startedAt, *metadata_.timeLeft)
+        : Core::Duration::zero();
+    isReturning_ = elapsed > Core::Duration::zero();
+    targetTime_ = request_.startedAt + std::chrono::milliseconds(route->targetLatencyMs) - elapsed;
     auto const* const share = gateway_.splits_[route_].choose(route->shares);
     if (!share) {
         refuse("no-pool", defaultRetryAfter);
@@ -193,7 +197,7 @@
 
 AdmissionQuery Exchange::admissionQuery()
 {
-    return { remainingTime(), targetTime_ - gateway_.loop_.now(), priority_, gateway_.random_.unit() };
+    return { remainingTime(), targetTime_ - gateway_.loop_.now(), priority_, isReturning_, gateway_.random_.unit() };
 }
 
 void Exchange::dispatchToAnyServer(Fleet::PoolItem const& pool)
@@ -301,8 +305,10 @@
         else
             load.onReachable();
         gateway_.countAnswer(server_);
-        if (metadata.load)
+        if (metadata.load) {
             load.onReport(*metadata.load, gateway_.loop_.now());
+            gateway_.countOccupancy(server_, *metadata.load);
+        }
         auto const serviceTime = ServerLoad::serviceTimeOf(elapsed, wasIdleAtSend_, metadata.load);
         if (!metadata.isNotRun && serviceTime) {
             load.onServiceTime(*serviceTime);
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -66,8 +66,10 @@
     std::uint32_t maxAttempts_ { 1 };
     std::uint32_t sends_ { 0 };
     Core::TimePoint deadline_;
-    /// The time at which the route's target latency is exceeded.
+    /// The time at which the route's target latency is exceeded, counted from the caller's first attempt.
     Core::TimePoint targetTime_;
+    /// Whether the caller returns after a refusal.
+    bool isReturning_ { false };
     /// The connection on which the answer is awaited, or null.
     ServerConnection* connection_ { nullptr };
     Fleet::ServerNumber server_ { 0 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -68,6 +68,11 @@
         loads_.erase(number);
         coldStartLimiters_.erase(number);
     }
+    for (auto const& occupancy : update.occupancies.rows) {
+        if (auto const* const server = view_.findServer(occupancy.server))
+            loadOf(server->record)
+                .onEstimate(occupancy.requests, std::chrono::milliseconds(occupancy.serviceMs), loop_.now());
+    }
     if (update.limits) {
         Net::HttpLimits limits;
         limits.maxHeadBytes = view_.limits().maxHeaderBytes;
@@ -178,6 +183,14 @@
     sum.sumMs += std::chrono::duration<double, std::milli>(latency).count();
 }
 
+void Gateway::countOccupancy(Fleet::ServerNumber server, ServerLoadReport const& load)
+{
+    auto& occupancy = occupancies_[server];
+    occupancy.server = server;
+    ++occupancy.reports;
+    occupancy.requests += load.running + load.waiting;
+}
+
 Fleet::LoadReport Gateway::takeReport()
 {
     Fleet::LoadReport report;
@@ -190,12 +203,15 @@
         report.contacts.push_back({ number, contact.answers, contact.refusals });
     for (auto const& [number, sum] : latencies_)
         report.latencies.push_back(sum);
+    for (auto const& [number, occupancy] : occupancies_)
+        report.occupancies.push_back(occupancy);
     if (suspicions_.size() > maxSuspicions)
         suspicions_.resize(maxSuspicions);
     report.suspicions = std::exchange(suspicions_, {});
     arrivals_.clear();
     latencies_.clear();
     contacts_.clear();
+    occupancies_.clear();
     return report;
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Random.h>
+#include <LibGateway/CallerPatience.h>
 #include <LibGateway/ColdStartLimiter.h>
 #include <LibGateway/PoolSplit.h>
 #include <LibGateway/RetryBudgetShare.h>
@@ -71,6 +72,7 @@
     void countArrival(Core::PoolName const&, std::uint32_t key);
     void countLatency(Fleet::ServerNumber, Core::Duration);
     void countAnswer(Fleet::ServerNumber server) { ++contacts_[server].answers; }
+    void countOccupancy(Fleet::ServerNumber, ServerLoadReport const&);
     void countRefusal(Fleet::ServerNumber server) { ++contacts_[server].refusals; }
 
     Net::EventLoop& loop_;
@@ -84,9 +86,11 @@
     std::map<Fleet::ServerNumber, ColdStartLimiter> coldStartLimiters_;
     std::map<Core::PoolName, RetryBudgetShare> retryBudgets_;
     std::map<Core::RouteName, PoolSplit> splits_;
+    std::map<Core::RouteName, CallerPatience> patience_;
     std::map<std::pair<Core::PoolName, std::uint32_t>, std::uint32_t> arrivals_;
     std::map<Fleet::ServerNumber, Fleet::LoadReport::Latency> latencies_;
     std::map<Fleet::ServerNumber, Fleet::LoadReport::Contact> contacts_;
+    std::map<Fleet::ServerNumber, Fleet::LoadReport::Occupancy> occupancies_;
     std::vector<Fleet::LoadReport::Suspicion> suspicions_;
     bool isAccepting_ { true };
     /// The time by which every request must be answered; set while the host stops.
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -9,6 +9,8 @@
 
     /// The weight of a report halves in this time, about the time in which a server drains a full queue.
     constexpr std::chrono::duration<double> reportHalfLife { 0.4 };
+    /// An estimate of the control leader is disregarded after this time. The leader repeats it every three seconds.
+    constexpr Core::Duration maxEstimateAge = std::chrono::seconds(5);
     constexpr double serviceTimeSmoothing = 0.2;
     /// Maximum number of requests at a server for each of its slots. A server refuses, or never answers, requests that
     /// exceed its own queue, and all entry hosts fill that queue without knowing of each other.
@@ -28,6 +30,14 @@
     reportedAt_ = now;
 }
 
+void ServerLoad::onEstimate(double requests, Core::Duration serviceTime, Core::TimePoint now)
+{
+    estimatedRequests_ = requests;
+    estimatedAt_ = now;
+    if (serviceTime > Core::Duration::zero())
+        serviceTime_ = serviceTime;
+}
+
 std::optional<Core::Duration> ServerLoad::serviceTimeOf(
     Core::Duration elapsed, bool wasIdleAtSend, std::optional<ServerLoadReport> const& report)
 {
@@ -65,7 +75,10 @@
 double ServerLoad::occupancy(Core::TimePoint now) const
 {
     auto const age = std::chrono::duration<double>(now - reportedAt_);
-    return inFlight_ + othersAtReport_ * std::exp2(-age / reportHalfLife);
+    auto const reportWeight = std::exp2(-age / reportHalfLife);
+    auto const hasEstimate = now - estimatedAt_ < maxEstimateAge;
+    auto const estimatedOthers = hasEstimate ? std::max(0.0, estimatedRequests_ - inFlight_) : 0.0;
+    return inFlight_ + othersAtReport_ * reportWeight + estimatedOthers * (1 - reportWeight);
 }
 
 Core::Duration ServerLoad::expectedWait(Core::TimePoint now) const
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -7,8 +7,9 @@
 
 /// One entry host's estimate of the load of one backend server.
 ///
-/// Load reports arrive only with answers, so they are old if an entry host rarely sends to a server. Reported requests
-/// of other entry hosts are therefore weighted less the older the report is.
+/// Load reports arrive only with answers, so they are old if an entry host rarely sends to a server. The older the last
+/// report is, the more the estimate of the control leader counts instead, which is based on the answers that all entry
+/// hosts got.
 class ServerLoad {
 public:
     explicit ServerLoad(std::uint32_t slots)
@@ -20,6 +21,9 @@
     /// Records that a sent request was answered or abandoned.
     void onDone() { inFlight_ -= std::min(inFlight_, 1U); }
     void onReport(ServerLoadReport const&, Core::TimePoint now);
+    /// Records the control leader's estimate of the requests of all entry hosts at the server, and of the service time,
+    /// which is zero if unknown.
+    void onEstimate(double requests, Core::Duration serviceTime, Core::TimePoint now);
     void onServiceTime(Core::Duration);
     /// Estimates the service time of an answered request without its queueing delay. Uses the queue length that the
     /// server reports: on an overloaded server every request is queued, so that it would otherwise never be measured as
@@ -54,6 +58,8 @@
     std::uint32_t inFlight_ { 0 };
     double othersAtReport_ { 0 };
     Core::TimePoint reportedAt_;
+    double estimatedRequests_ { 0 };
+    Core::TimePoint estimatedAt_;
     Core::Duration serviceTime_ { std::chrono::milliseconds(100) };
     std::uint32_t failures_ { 0 };
     std::uint32_t misdirected_ { 0 };
--- a/Tests/LibGateway/TestPolicies.cpp
+++ b/Tests/LibGateway/TestPolicies.cpp
@@ -24,7 +24,7 @@
 BOOST_AUTO_TEST_CASE(AnIdleServerReceivesARequestThatCanBeAnsweredInTime)
 {
     ServerLoad const server(4);
-    BOOST_TEST(!Admission::check({ 500ms, 500ms, 2, 0.5 }, server, start).has_value());
+    BOOST_TEST(!Admission::check({ 500ms, 500ms, 2, false, 0.5 }, server, start).has_value());
 }
 
 // Load pattern: a burst for one owner. The queue is bounded, and a request that cannot be answered in time is refused
@@ -35,7 +35,7 @@
     for (int i = 0; i < 6; ++i)
         server.onSent();
     // Five of the requests ahead must finish first, in two slots with a service time of 100 ms.
-    BOOST_TEST(Admission::check({ 200ms, 200ms, 0, 0.5 }, server, start).has_value());
+    BOOST_TEST(Admission::check({ 200ms, 200ms, 0, false, 0.5 }, server, start).has_value());
 }
 
 // Load pattern: sustained overload of one owner by half of its capacity. With a queue limited only by the deadline,
@@ -55,7 +55,7 @@
                 server.onDone();
             return end <= now;
         });
-        if (Admission::check({ 800ms, target, 0, 0.5 }, server, now))
+        if (Admission::check({ 800ms, target, 0, false, 0.5 }, server, now))
             continue;
         server.onSent();
         auto& slot = *std::ranges::min_element(slots);
@@ -72,7 +72,7 @@
 {
     ServerLoad server(2);
     int sent = 0;
-    while (!Admission::check({ 60s, 60s, 0, 0.5 }, server, start) && sent < 100) {
+    while (!Admission::check({ 60s, 60s, 0, false, 0.5 }, server, start) && sent < 100) {
         server.onSent();
         ++sent;
     }
@@ -83,13 +83,13 @@
 {
     ServerLoad server(4);
     int urgent = 0;
-    while (!Admission::check({ 60s, 60s, 0, 0.5 }, server, start)) {
+    while (!Admission::check({ 60s, 60s, 0, false, 0.5 }, server, start)) {
         server.onSent();
         ++urgent;
     }
     ServerLoad other(4);
     int lessUrgent = 0;
-    while (!Admission::check({ 60s, 60s, 2, 0.5 }, other, start)) {
+    while (!Admission::check({ 60s, 60s, 2, false, 0.5 }, other, start)) {
         other.onSent();
         ++lessUrgent;
     }
