--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -31,8 +31,8 @@
 /// deadline is refused before it is queued, so that queue places hold only requests whose callers still wait. A request
 /// that finds no free slot is queued only if its answer is expected within the target latency: under sustained overload
 /// a longer queue delays every answer and does not raise the throughput. Less urgent requests may use fewer queue
-/// places, so that they are refused first, but always some. A caller that returns after a refusal may use the queue up
-/// to its deadline, so that it is not refused again while callers that came later are admitted.
+/// places, so that they are refused first, but always some. A caller that returns after a refusal may queue
+/// beyond the target latency, so that it is not refused again while callers that came later are admitted.
 class Admission {
 public:
     /// Returns the refusal, or nothing if the request may be sent.
