--- a/Tests/Platform/TestWire.cpp
+++ b/Tests/Platform/TestWire.cpp
@@ -60,6 +60,23 @@
 
 } // namespace
 
+// The platform renders the bounds as a JSON object. Only the other form was read, so that each bound had its default: a
+// stop ended requests after 5.2 s where the platform allows 10 s.
+BOOST_AUTO_TEST_CASE(BoundsAreReadFromAJsonObject)
+{
+    std::string text = settingsText;
+    auto const begin = text.find("[bounds]");
+    BOOST_REQUIRE(begin != std::string::npos);
+    text.erase(begin);
+    text += "[bounds]\nvalues = {\"ContactS\":4,\"GraceS\":10,\"RetrySlack\":430,\"LossSlackS\":0.2}\n";
+    auto const settings = parseNodeSettings(text, "node");
+    BOOST_REQUIRE(!settings.isError());
+    BOOST_TEST(settings.value().bound("GraceS", 6) == 10);
+    BOOST_TEST(settings.value().bound("RetrySlack", 0) == 430);
+    BOOST_TEST(settings.value().bound("ContactS", 0) == 4);
+    BOOST_TEST(settings.value().bound("LossSlackS", 0) == 0.2);
+}
+
 BOOST_AUTO_TEST_CASE(SettingsAreReadFromTheTemplatesText)
 {
     auto const settings = parseNodeSettings(settingsText, "node");
