--- a/Services/Daemon/Main.cpp
+++ b/Services/Daemon/Main.cpp
@@ -4,6 +4,7 @@
 
 #include <cxxopts.hpp>
 #include <platform/Roles.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <csignal>
@@ -94,7 +95,7 @@
     daemon.value()->run();
     // The signal thread uses the daemon, so it ends first.
     hasEnded = true;
-    pthread_kill(signalThread.native_handle(), SIGTERM);
+    ::kill(::getpid(), SIGTERM);
     signalThread.join();
     return exitOk;
 }
