--- a/review/2/case.py
+++ b/review/1/case.py
@@ -34,7 +34,8 @@
         copy = state.pop("copy", None)
         if copy:
             LateCopyWorker.copies += 1
-            self.site.record.write("%s sends a late copy: %s" % (self.id, copy.split(b"\r\n")[0].decode()))
+            attempt = copy.split(b"X-Attempt-Id: ")[1].split(b"\r\n")[0].decode()
+            self.site.record.write("%s sends a late copy for %s: %s" % (self.id, attempt, copy.split(b"\r\n")[0].decode()))
             writer.write(copy)
             await writer.drain()
 
