--- a/review/1/case.py
+++ b/review/1/case.py
@@ -41,7 +41,6 @@
 
     def on_run(self, attempt, path, body):
         self.site.runs.setdefault(attempt, []).append(self.id)
-        self.site.record.write("%s runs %s" % (self.id, attempt))
 
 
 async def case(record, has_trouble):
@@ -66,10 +65,8 @@
         async def send(client):
             key = random.randrange(65536)
             attempt = "%016x" % random.getrandbits(64)
-            record.write("client sends %s, key %d" % (attempt, key))
             result = await client.send("POST", HOST, PATH + "x", 1.0, [("X-Shard-Key", key)], b"letter", attempt)
             answers[attempt] = result[1]
-            record.write("client gets %s for %s" % (result[1], attempt))
 
         clients = [Client(site, entry) for entry in site.entry]
         tasks = set()
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -352,7 +352,7 @@
         self.holds, self.hold_until, self.leaving, self.released, self.busy_keys = [], 0.0, [], [], {}
         self.heartbeat_to = None
         self.server, self.beats, self.writers = None, None, set()
-        self.is_up = False
+        self.is_up, self.is_registered = False, False
         site.workers.append(self)
 
     def warmup_left(self):
@@ -426,6 +426,7 @@
             if status != 200:
                 self.heartbeat_to, delay = None, 0.1
                 continue
+            self.is_registered = True
             self.released = self.released[len(released):]
             answer = json.loads(answer)
             self.heartbeat_to = answer.get("HeartbeatAddr", "").partition(":")[0] or None
@@ -491,6 +492,7 @@
                 self.waiting -= 1
                 self.running += 1
                 try:
+                    self.site.record.write("%s runs %s, %s" % (self.id, attempt, path))
                     self.on_run(attempt, path, body)
                     await self.work(attempt, path)
                 finally:
@@ -527,6 +529,7 @@
     async def send(self, method, host, path, deadline_s, headers=(), body=b"", attempt=None):
         """Returns (attempt id, status, headers, body); the status is None without an answer."""
         attempt = attempt or "%016x" % random.getrandbits(64)
+        self.site.record.write("client sends %s, %s %s to %s" % (attempt, method, path, self.entry.name))
         head = "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n" % (
             method, path, host, attempt, int(deadline_s * 1000))
         for name, value in headers:
@@ -549,10 +552,12 @@
         except (OSError, ConnectionError, asyncio.TimeoutError):
             message = None
         if message is None:
+            self.site.record.write("client gets no answer for %s" % attempt)
             if connection:
                 connection[1].close()
             return attempt, None, {}, b""
         line, answer, content = message
+        self.site.record.write("client gets %s for %s" % (line.split()[1], attempt))
         if answer.get("connection", "").lower() == "close":
             connection[1].close()
         else:
