--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -571,12 +571,14 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say("trouble: %s" % ("yes" if has_trouble else "no"))
     code = EXIT_NOT_RUN
+    # So that the processes are ended also when this one is told to stop.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(asyncio.wait_for(case(record, has_trouble), 115))
         for line in broken:
             record.say("BROKEN " + line)
         code = EXIT_BROKEN if broken else EXIT_HELD
-    except (NotRun, OSError, asyncio.TimeoutError) as error:
+    except (NotRun, OSError, asyncio.TimeoutError, KeyboardInterrupt) as error:
         record.say("could not run: %r" % error)
     record.say("exit %d" % code)
     record.close()
