--- a/Libraries/LibConsensus/Actions.h
+++ b/Libraries/LibConsensus/Actions.h
@@ -12,6 +12,9 @@
     std::optional<Snapshot> snapshot;
     /// Whether the snapshot, received from the leader, replaces the whole log.
     bool discardsLog { false };
+    /// Whether the request holds the whole state, as in `RecoveredState`, and replaces everything in the store. Sent
+    /// after a failure of the store, so that nothing depends on what was written before.
+    bool replacesAll { false };
     std::optional<HardState> hardState;
     /// Log entries with contiguous indexes. They replace all stored entries from the index of the first one onward.
     std::vector<LogEntry> entries;
@@ -72,8 +75,8 @@
     PreCandidate,
     Candidate,
     Leader,
-    /// The store failed, or the leader sent an entry that conflicts with a committed one. The node ignores all messages
-    /// until the process ends.
+    /// The leader sent an entry that conflicts with a committed one. The node ignores all messages until the process
+    /// ends.
     Halted,
 };
 
--- a/Libraries/LibConsensus/Event.h
+++ b/Libraries/LibConsensus/Event.h
@@ -44,7 +44,9 @@
     PersistSequence sequence;
 };
 
-/// Reports a permanent failure of the store. The node stops acting as a voter until the process ends.
+/// Reports that the store failed a `PersistRequest` and ignores all that follow, until one with
+/// `PersistRequest::replacesAll` is durable. The node sends such a request at intervals. Until then it follows the
+/// leader in memory, and neither votes nor leads.
 struct StorageFailed { };
 
 /// Reports a snapshot of the application state after the entry at `index`, which must have been passed to the
--- a/Libraries/LibConsensus/Machine.cpp
+++ b/Libraries/LibConsensus/Machine.cpp
@@ -1,6 +1,8 @@
 #include <LibConsensus/Machine.h>
 #include <LibCore/Hash.h>
 
+#include <limits>
+
 namespace Consensus {
 
 namespace {
@@ -36,7 +38,7 @@
     , log_(baseIndexOf(state), baseTermOf(state), std::move(state.entries))
     , commitIndex_(baseIndexOf(state))
     , snapshot_(state.snapshot)
-    , durability_(log_.lastIndex())
+    , durability_(state.isDurable ? log_.lastIndex() : LogIndex {})
     // The host may have heard from the leader shortly before it restarted, so it does not vote until the minimum
     // election timeout has passed.
     , lastLeaderContact_(now)
@@ -44,6 +46,11 @@
     , snapshotThreshold_(settings_.snapshotInterval + random_.below(settings_.snapshotInterval / 4 + 1))
 {
     resetElectionTimer();
+    if (state.isDurable)
+        return;
+    storageState_ = StorageState::Failed;
+    storageRetryAt_ = now_ + settings_.storageRetryInterval;
+    hardStateSequence_ = durability_.begin();
 }
 
 Actions Node::Machine::step(Core::TimePoint now, Event event)
@@ -63,7 +70,7 @@
 
     if (before != std::tuple(role_, term_, leader_))
         actions_.roleChange = RoleChange { role_, term_, leader_ };
-    actions_.isSnapshotDue = role_ != Role::Halted && !isSnapshotTaken
+    actions_.isSnapshotDue = role_ != Role::Halted && isStorageSound() && !isSnapshotTaken
         && commitIndex_.value >= lastSnapshotIndex().value + snapshotThreshold_;
     actions_.wakeAt = electionDeadline_;
     if (role_ == Role::Leader) {
@@ -72,6 +79,8 @@
         if (leadershipTransfer_)
             actions_.wakeAt = std::min(actions_.wakeAt, leadershipTransfer_->deadline);
     }
+    if (storageState_ == StorageState::Failed)
+        actions_.wakeAt = std::min(actions_.wakeAt, storageRetryAt_);
     if (role_ == Role::Halted)
         actions_.wakeAt = Core::TimePoint::max();
     return std::move(actions_);
@@ -95,7 +104,11 @@
 
 void Node::Machine::handle(Persisted const& event)
 {
-    if (role_ == Role::Halted || !durability_.confirm(event.sequence))
+    if (!durability_.confirm(event.sequence))
+        return;
+    if (storageState_ == StorageState::Rewriting && event.sequence >= rewriteSequence_)
+        storageState_ = StorageState::Sound;
+    if (role_ == Role::Halted)
         return;
     if (durability_.isDurable(hardStateSequence_)) {
         std::ranges::move(deferredMessages_, std::back_inserter(actions_.messages));
@@ -125,13 +138,41 @@
     }
 }
 
-void Node::Machine::handle(StorageFailed const&) { halt(); }
+void Node::Machine::handle(StorageFailed const&)
+{
+    storageState_ = StorageState::Failed;
+    storageRetryAt_ = now_ + settings_.storageRetryInterval;
+    if (role_ == Role::Halted)
+        return;
+    // The log in memory still has the entries of these snapshots.
+    pendingSnapshots_.clear();
+    if (role_ == Role::Leader)
+        handOverLeadership();
+    else if (role_ != Role::Follower)
+        becomeFollower(term_, std::nullopt);
+    deferredMessages_.clear();
+    proposals_.markUnresolvedUpTo({ std::numeric_limits<std::uint64_t>::max() }, actions_.proposals);
+}
+
+void Node::Machine::rewriteStorage()
+{
+    storageState_ = StorageState::Rewriting;
+    PersistRequest request {
+        .snapshot = snapshot_, .replacesAll = true, .hardState = HardState { term_, votedFor_ }, .entries = {}
+    };
+    auto const firstIndex = (snapshot_ ? snapshot_->metadata.index : LogIndex {}).next();
+    for (auto index = firstIndex; index <= log_.lastIndex(); index = index.next())
+        request.entries.push_back(log_.at(index));
+    rewriteSequence_ = persist(std::move(request));
+    if (!durability_.isDurable(hardStateSequence_))
+        hardStateSequence_ = rewriteSequence_;
+}
 
 void Node::Machine::handle(SnapshotTaken& event)
 {
     auto const term = log_.termAt(event.index);
     auto const isNew = event.index > lastSnapshotIndex() && event.index <= commitIndex_;
-    if (role_ == Role::Halted || !isNew || !term || !event.data)
+    if (role_ == Role::Halted || !isStorageSound() || !isNew || !term || !event.data)
         return;
     auto const& configuration = configurations_.at(event.index);
     Snapshot snapshot {
@@ -187,8 +228,10 @@
 {
     request.sequence = durability_.begin();
     durability_.recordWrite(request.sequence, log_.lastIndex());
-    actions_.persist.push_back(std::move(request));
-    return actions_.persist.back().sequence;
+    auto const sequence = request.sequence;
+    if (storageState_ != StorageState::Failed)
+        actions_.persist.push_back(std::move(request));
+    return sequence;
 }
 
 void Node::Machine::persistHardState()
@@ -199,8 +242,10 @@
 void Node::Machine::send(Core::HostName const& to, MessageBody body)
 {
     Message message { settings_.clusterId, settings_.host, to, term_, std::move(body) };
-    auto& queue = durability_.isDurable(hardStateSequence_) ? actions_.messages : deferredMessages_;
-    queue.push_back(std::move(message));
+    if (durability_.isDurable(hardStateSequence_))
+        actions_.messages.push_back(std::move(message));
+    else if (storageState_ != StorageState::Failed)
+        deferredMessages_.push_back(std::move(message));
 }
 
 void Node::Machine::refuse(Core::HostName const& from, MessageRefusal reason)
--- a/Libraries/LibConsensus/Machine.h
+++ b/Libraries/LibConsensus/Machine.h
@@ -30,6 +30,7 @@
     Role role() const { return role_; }
     Term term() const { return term_; }
     LogIndex commitIndex() const { return commitIndex_; }
+    bool isStorageSound() const { return storageState_ == StorageState::Sound; }
     Log const& log() const { return log_; }
     std::optional<Core::TimePoint> authorityUntil() const;
 
@@ -73,6 +74,8 @@
     /// Whether this host has no log entries. Such a host must not vote, because it may have voted or acknowledged
     /// entries before it lost its disk.
     bool hasNoData() const { return log_.lastIndex().value == 0; }
+    /// Whether this host may vote and become leader. A vote must be durable.
+    bool canTakePartInElections() const { return isStorageSound() && !hasNoData(); }
     bool isVoter() const { return configurations_.current().isVoter(settings_.host); }
 
     // Follower
@@ -96,7 +99,7 @@
     void advanceCommit();
     void updatePeers();
     void advanceTransfer();
-    void stepDownAfterRemoval();
+    void handOverLeadership();
     Progress* progressOf(Core::HostName const&);
     bool isLeaderReady() const { return role_ == Role::Leader && commitIndex_ >= ownTermFirstIndex_; }
     bool isCaughtUp(Core::HostName const&) const;
@@ -124,7 +127,10 @@
     void changeConfiguration(LogIndex, Configuration);
     PersistSequence persist(PersistRequest);
     void persistHardState();
-    /// Sends a message, or defers it until the current term and vote are durable.
+    /// Writes the whole state anew after a failure of the store.
+    void rewriteStorage();
+    /// Sends a message, or defers it until the current term and vote are durable. While the store fails, a message that
+    /// would have to wait is dropped.
     void send(Core::HostName const& to, MessageBody);
     void refuse(Core::HostName const& from, MessageRefusal);
     LogIndex lastSnapshotIndex() const;
@@ -147,6 +153,16 @@
     std::optional<Snapshot> snapshot_;
     DurabilityTracker durability_;
     PersistSequence hardStateSequence_;
+    enum class StorageState : std::uint8_t {
+        Sound,
+        /// The store ignores writes, so none are sent. Their content is part of the next rewrite.
+        Failed,
+        /// The whole state was sent to the store.
+        Rewriting,
+    };
+    StorageState storageState_ { StorageState::Sound };
+    Core::TimePoint storageRetryAt_;
+    PersistSequence rewriteSequence_;
     std::vector<Message> deferredMessages_;
 
     Core::TimePoint electionDeadline_;
--- a/Libraries/LibConsensus/MachineElection.cpp
+++ b/Libraries/LibConsensus/MachineElection.cpp
@@ -10,6 +10,8 @@
         runLeaderTimers();
     else
         runElectionTimer();
+    if (storageState_ == StorageState::Failed && now_ >= storageRetryAt_)
+        rewriteStorage();
 }
 
 void Node::Machine::runLeaderTimers()
@@ -117,7 +119,7 @@
 {
     resetElectionTimer();
     leader_.reset();
-    if (!isVoter() || hasNoData()) {
+    if (!isVoter() || !canTakePartInElections()) {
         role_ = Role::Follower;
         return;
     }
@@ -186,8 +188,8 @@
 void Node::Machine::handle(Core::HostName const& from, Term term, VoteRequest const& request)
 {
     if (request.isPreVote) {
-        auto const isGranted
-            = request.electionTerm > term_ && !hasRecentLeaderContact() && isUpToDate(request) && !hasNoData();
+        auto const isGranted = request.electionTerm > term_ && !hasRecentLeaderContact() && isUpToDate(request)
+            && canTakePartInElections();
         return send(from, VoteResponse { request.electionTerm, isGranted, true });
     }
     if (request.electionTerm != term)
@@ -201,7 +203,7 @@
     auto const isEligibleRole = role_ == Role::Follower || role_ == Role::PreCandidate;
     auto const mayVote
         = request.electionTerm == term_ && isEligibleRole && (votedFor_ ? *votedFor_ == from : !leader_.has_value());
-    auto const isGranted = mayVote && isUpToDate(request) && !hasNoData();
+    auto const isGranted = mayVote && isUpToDate(request) && canTakePartInElections();
     if (isGranted) {
         becomeFollower(term_, leader_);
         resetElectionTimer();
@@ -225,7 +227,7 @@
 
 void Node::Machine::handle(Core::HostName const& from, Term, TimeoutNow const&)
 {
-    if (role_ == Role::Follower && leader_ == from && isVoter() && !hasNoData())
+    if (role_ == Role::Follower && leader_ == from && isVoter() && canTakePartInElections())
         startElection(true);
 }
 
--- a/Libraries/LibConsensus/MachineLeader.cpp
+++ b/Libraries/LibConsensus/MachineLeader.cpp
@@ -287,10 +287,11 @@
         return;
     commitTo(majorityIndex);
     if (!isVoter() && configurations_.currentIndex() <= commitIndex_)
-        stepDownAfterRemoval();
+        handOverLeadership();
 }
 
-void Node::Machine::stepDownAfterRemoval()
+/// Steps down at once, and asks the most up-to-date voter to take over without waiting for its election timeout.
+void Node::Machine::handOverLeadership()
 {
     if (auto const successor = mostUpToDateVoter())
         send(*successor, TimeoutNow {});
--- a/Libraries/LibConsensus/Node.cpp
+++ b/Libraries/LibConsensus/Node.cpp
@@ -18,6 +18,7 @@
 Term Node::term() const { return machine_->term(); }
 LogIndex Node::commitIndex() const { return machine_->commitIndex(); }
 LogIndex Node::lastIndex() const { return machine_->log().lastIndex(); }
+bool Node::isStorageSound() const { return machine_->isStorageSound(); }
 std::optional<Term> Node::termAt(LogIndex index) const { return machine_->log().termAt(index); }
 std::optional<Core::TimePoint> Node::authorityUntil() const { return machine_->authorityUntil(); }
 
--- a/Libraries/LibConsensus/Node.h
+++ b/Libraries/LibConsensus/Node.h
@@ -61,6 +61,9 @@
     Term term() const;
     LogIndex commitIndex() const;
     LogIndex lastIndex() const;
+    /// Returns false from a failure of the store until its whole content has been written anew. In this time, the host
+    /// neither votes nor leads.
+    bool isStorageSound() const;
     /// Returns the term of an entry that is in memory or directly precedes the first entry in memory, or nothing for
     /// any other index.
     std::optional<Term> termAt(LogIndex) const;
--- a/Libraries/LibConsensus/Settings.h
+++ b/Libraries/LibConsensus/Settings.h
@@ -27,6 +27,8 @@
     std::size_t maxUncommittedBytes { std::size_t { 24 } << 20 };
     /// Maximum number of heartbeat rounds that wait for a quorum before new reads are batched into a later round.
     std::uint64_t maxReadRounds { 8 };
+    /// Time from a failure of the store until the whole state is written anew.
+    Core::Duration storageRetryInterval { std::chrono::milliseconds(500) };
     std::size_t snapshotChunkBytes { std::size_t { 256 } << 10 };
     /// Maximum snapshot size; a receiver rejects larger snapshots.
     std::uint64_t maxSnapshotBytes { std::uint64_t { 1 } << 30 };
--- a/Libraries/LibConsensus/Types.h
+++ b/Libraries/LibConsensus/Types.h
@@ -86,6 +86,8 @@
     std::optional<Snapshot> snapshot;
     /// Entries with contiguous indexes. The first one directly follows the snapshot, or has index 1 without a snapshot.
     std::vector<LogEntry> entries;
+    /// Whether the store has proved that this state is durable. Otherwise the node starts as after `StorageFailed`.
+    bool isDurable { true };
 };
 
 /// Returns the initial state of a voter of a new cluster. All initial voters must be started with the same
--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -454,6 +454,7 @@
     events_.reportSuppressed();
     auto const status = replica_.status();
     auto const isLeader = status.role == Consensus::Role::Leader;
+    metrics_.setStorageSound(replica_.isStorageSound());
     metrics_.setRaft(status.term.value, status.commitIndex.value, isLeader, status.leader.has_value());
     std::map<std::pair<Core::PoolName, Core::FailureDomain>, std::uint64_t> servers;
     for (auto const& [number, server] : replica_.state().servers())
--- a/Libraries/LibControlHost/Replica.cpp
+++ b/Libraries/LibControlHost/Replica.cpp
@@ -17,6 +17,8 @@
           [this](std::function<void()> function) { post(std::move(function)); }, std::move(opened.store),
           [this](auto const& result, Core::Duration) { onPersisted(result); }))
 {
+    if (opened.report.failure)
+        events_.write(EventId::StorageFailed, { { "error", Storage::describe(*opened.report.failure) } });
     post([this] { step(Consensus::Tick {}); });
 }
 
@@ -219,12 +221,16 @@
 
 void Replica::onPersisted(Core::Result<Consensus::PersistSequence, Storage::StoreError> const& result)
 {
+    auto const wasSound = node_.isStorageSound();
     if (result.isError()) {
-        events_.write(EventId::StorageFailed, { { "error", Storage::describe(result.error()) } });
+        if (wasSound)
+            events_.write(EventId::StorageFailed, { { "error", Storage::describe(result.error()) } });
         step(Consensus::StorageFailed {});
         return;
     }
     step(Consensus::Persisted { result.value() });
+    if (!wasSound && node_.isStorageSound())
+        events_.write(EventId::StorageRestored);
 }
 
 } // namespace ControlHost
--- a/Libraries/LibControlHost/Replica.h
+++ b/Libraries/LibControlHost/Replica.h
@@ -54,6 +54,7 @@
     /// Whether this host leads and no other host can have become the leader yet.
     bool hasAuthority();
     Consensus::Status status() const { return node_.status(); }
+    bool isStorageSound() const { return node_.isStorageSound(); }
     Fleet::State const& state() const { return state_; }
 
 private:
--- a/Libraries/LibStorage/Disk.cpp
+++ b/Libraries/LibStorage/Disk.cpp
@@ -17,8 +17,6 @@
         return "read";
     case DiskOperation::Write:
         return "write";
-    case DiskOperation::Truncate:
-        return "truncate";
     case DiskOperation::Sync:
         return "sync";
     case DiskOperation::SyncDirectory:
@@ -33,6 +31,11 @@
     return "unknown";
 }
 
-bool DiskError::isDiskFull() const { return errorNumber == ENOSPC || errorNumber == EDQUOT; }
+bool DiskError::isDiskFull() const { return errorNumber == ENOSPC || errorNumber == EDQUOT || errorNumber == EFBIG; }
+
+bool DiskError::isRefusal() const
+{
+    return isDiskFull() && operation != DiskOperation::Sync && operation != DiskOperation::SyncDirectory;
+}
 
 } // namespace Storage
--- a/Libraries/LibStorage/Disk.h
+++ b/Libraries/LibStorage/Disk.h
@@ -17,7 +17,6 @@
     Open,
     Read,
     Write,
-    Truncate,
     Sync,
     SyncDirectory,
     Rename,
@@ -35,8 +34,11 @@
     /// The value of `errno`.
     int errorNumber { 0 };
 
-    /// No space or quota left.
+    /// No space or quota left, or the file size limit was reached.
     bool isDiskFull() const;
+    /// The change was refused for lack of space, so that what was durable before is unchanged. False for a sync, after
+    /// which the content is unknown whatever the reason was.
+    bool isRefusal() const;
 };
 
 /// An open file. Closed by the destructor, which does not sync.
@@ -46,7 +48,6 @@
 
     /// Writes all bytes at the end of the file. After an error any part of them may have been written.
     virtual Core::Result<Core::Void, DiskError> append(std::string_view) = 0;
-    virtual Core::Result<Core::Void, DiskError> truncate(std::uint64_t size) = 0;
     /// Makes content and size durable. After an error the content is undefined and must not be used.
     virtual Core::Result<Core::Void, DiskError> sync() = 0;
 };
--- a/Libraries/LibStorage/FramedFile.cpp
+++ b/Libraries/LibStorage/FramedFile.cpp
@@ -41,16 +41,30 @@
     return payload;
 }
 
+namespace {
+
+    Core::Result<Core::Void, DiskError> writeAndSync(
+        DiskInterface& disk, std::string const& file, std::string_view bytes)
+    {
+        auto output = TRY(disk.open(file, true));
+        TRY(output->append(bytes));
+        return output->sync();
+    }
+
+} // namespace
+
 Core::Result<Core::Void, DiskError> writeFileAtomically(
     DiskInterface& disk, std::string const& file, std::string_view bytes)
 {
     auto const temporary = file + std::string(temporarySuffix);
-    auto output = TRY(disk.open(temporary, true));
-    TRY(output->append(bytes));
-    TRY(output->sync());
+    auto const written = writeAndSync(disk, temporary, bytes);
+    if (written.isError()) {
+        // Gives the space back. If this fails too, the file is replaced or removed later.
+        static_cast<void>(disk.remove(temporary));
+        return written;
+    }
     TRY(disk.rename(temporary, file));
-    TRY(disk.syncDirectory());
-    return Core::Void {};
+    return disk.syncDirectory();
 }
 
 } // namespace Storage
--- a/Libraries/LibStorage/RealDisk.cpp
+++ b/Libraries/LibStorage/RealDisk.cpp
@@ -65,13 +65,6 @@
             return Core::Void {};
         }
 
-        Core::Result<Core::Void, DiskError> truncate(std::uint64_t size) override
-        {
-            if (::ftruncate(descriptor_.number(), static_cast<off_t>(size)) != 0)
-                return lastError(DiskOperation::Truncate, name_);
-            return Core::Void {};
-        }
-
         Core::Result<Core::Void, DiskError> sync() override
         {
             if (::fsync(descriptor_.number()) != 0)
--- a/Libraries/LibStorage/Store.cpp
+++ b/Libraries/LibStorage/Store.cpp
@@ -17,8 +17,8 @@
     /// The identity of a store that is being made. Renamed to `identity` once everything else is durable.
     constexpr std::string_view creatingFile = "creating";
     constexpr std::string_view healthyFile = "healthy";
-    /// `healthy` is renamed to this after a failure. It needs no space, and is seen by a process that starts while the
-    /// page cache still holds data that is not on the disk. After a restart of the host only the disk counts.
+    /// `healthy` is renamed to this after a failure that leaves the page cache in doubt, which needs no space. A
+    /// process that starts later then writes the whole state anew instead of trusting what it reads.
     constexpr std::string_view failedFile = "failed";
     constexpr std::string_view logPrefix = "log-";
     constexpr std::string_view snapshotPrefix = "snapshot-";
@@ -61,13 +61,12 @@
             || name == creatingFile || name == healthyFile || name == failedFile;
     }
 
-    /// After these the page cache may differ from the disk.
+    /// Whether the page cache may differ from the disk after this error. A write that was refused for lack of space has
+    /// changed nothing that was durable; after any other failed change, a later sync proves nothing.
     bool leavesDoubt(StoreError const& error)
     {
         auto const* disk = std::get_if<DiskError>(&error);
-        return disk
-            && (disk->operation == DiskOperation::Write || disk->operation == DiskOperation::Truncate
-                || disk->operation == DiskOperation::Sync || disk->operation == DiskOperation::SyncDirectory);
+        return disk && !disk->isRefusal();
     }
 
     std::string encodeIdentity(StoreSettings const& settings)
@@ -155,6 +154,8 @@
     Core::Result<Core::Void, StoreError> create(Consensus::RecoveredState const&);
     Core::Result<Consensus::RecoveredState, StoreError> open(RecoveryReport&);
     Core::Result<Consensus::PersistSequence, StoreError> persist(std::span<Consensus::PersistRequest const>);
+    /// Refuses further requests until one replaces everything.
+    void fail(StoreError);
     std::uint64_t bytesWritten() const { return bytesWritten_; }
 
 private:
@@ -164,12 +165,16 @@
         Consensus::LogIndex firstPrevious;
     };
 
-    Core::Result<Consensus::RecoveredState, StoreError> recover(RecoveryReport&);
+    Core::Result<Consensus::RecoveredState, StoreError> read(RecoveryReport&);
+    Core::Result<Core::Void, StoreError> prepare(Consensus::RecoveredState const&);
     void markFailed();
     Core::Result<Core::Void, StoreError> checkFiles(std::vector<std::string> const& names);
+    void removeLeftovers();
     Core::Result<std::optional<Consensus::Snapshot>, StoreError> readSnapshot(std::vector<std::string> const& names);
     Core::Result<Core::Void, StoreError> readLog(std::vector<std::string> const& names, LogReplay&, RecoveryReport&);
+    Core::Result<std::vector<std::uint64_t>, StoreError> currentFiles(std::vector<std::string> const& names);
     Core::Result<Core::Void, StoreError> write(std::span<Consensus::PersistRequest const>);
+    Core::Result<Core::Void, StoreError> rewrite(Consensus::RecoveredState const&);
     Core::Result<Core::Void, StoreError> flush();
     Core::Result<Core::Void, StoreError> markDurable();
     Core::Result<Core::Void, StoreError> startFile();
@@ -187,8 +192,9 @@
     std::uint64_t fileSize_ { 0 };
     std::vector<LogFile> files_;
     std::uint64_t nextBatch_ { 1 };
-    /// On opening: the log ends with a `Durable` record.
-    bool isLastBatchMarked_ { false };
+    /// On opening: what was read is not proved to be on the disk, or not in a form that can be continued.
+    bool mustRewrite_ { false };
+    bool isMarkedFailed_ { false };
     Batch batch_;
     /// State with the records of `batch_` and without them.
     Consensus::HardState hardState_;
@@ -237,14 +243,9 @@
         return StoreError { Corruption { CorruptionKind::DamagedIdentity, std::string(identityFile), 0 } };
     }
     TRY(checkIdentity(TRY(lifted(disk_.read(std::string(identityFile)))), settings_));
-    if (contains(names, failedFile))
-        return StoreError { FailedEarlier {} };
-    if (!contains(names, healthyFile))
+    isMarkedFailed_ = contains(names, failedFile);
+    if (!isMarkedFailed_ && !contains(names, healthyFile))
         return StoreError { Corruption { CorruptionKind::DamagedIdentity, std::string(healthyFile), 0 } };
-    for (auto const& name : names) {
-        if (isOwnFile(name) && name.ends_with(temporarySuffix))
-            TRY(lifted(disk_.remove(name)));
-    }
     return Core::Void {};
 }
 
@@ -264,10 +265,26 @@
     return std::optional(std::move(snapshot));
 }
 
+/// Returns the numbers of the files that make up the log. A file that begins with a `Reset` record holds the whole
+/// state of its time, so earlier files are obsolete.
+Core::Result<std::vector<std::uint64_t>, StoreError> Store::Engine::currentFiles(std::vector<std::string> const& names)
+{
+    auto numbers = numbersOf(names, logPrefix);
+    for (auto index = numbers.size(); index-- > 1;) {
+        auto const bytes = TRY(lifted(disk_.read(numberedName(logPrefix, numbers[index]))));
+        auto const scan = scanFile(bytes, numbers[index], 0);
+        if (scan.records.empty() || scan.records.front().type != RecordType::Reset)
+            continue;
+        numbers.erase(numbers.begin(), numbers.begin() + static_cast<std::ptrdiff_t>(index));
+        break;
+    }
+    return numbers;
+}
+
 Core::Result<Core::Void, StoreError> Store::Engine::readLog(
     std::vector<std::string> const& names, LogReplay& replay, RecoveryReport& report)
 {
-    auto const numbers = numbersOf(names, logPrefix);
+    auto const numbers = TRY(currentFiles(names));
     for (auto const number : numbers) {
         auto const file = numberedName(logPrefix, number);
         auto const isLast = number == numbers.back();
@@ -290,7 +307,7 @@
                 return StoreError { Corruption {
                     CorruptionKind::DamagedFileHeader, file, scan.damageOffset.value_or(0) } };
             report.tornBytes += bytes.size();
-            TRY(lifted(disk_.remove(file)));
+            mustRewrite_ = true;
             break;
         }
         if (!files_.empty() && scan.firstBatch != nextBatch_)
@@ -306,12 +323,10 @@
         }
         nextBatch_ = scan.firstBatch + scan.batchCount;
         fileSize_ = scan.soundEnd;
-        isLastBatchMarked_ = scan.isLastBatchMarked;
-        if (scan.damageOffset) {
+        // A batch without its mark may never have been synced, or its sync may have failed.
+        mustRewrite_ = mustRewrite_ || (isLast && (scan.damageOffset || !scan.isLastBatchMarked));
+        if (scan.damageOffset)
             report.tornBytes += bytes.size() - scan.soundEnd;
-            auto const output = TRY(lifted(disk_.open(file, false)));
-            TRY(lifted(output->truncate(scan.soundEnd)));
-        }
     }
     if (files_.empty())
         return StoreError { Corruption { CorruptionKind::MissingEntries, numberedName(logPrefix, 1), 0 } };
@@ -321,20 +336,32 @@
 Core::Result<Consensus::RecoveredState, StoreError> Store::Engine::open(RecoveryReport& report)
 {
     lock_ = TRY(takeLock(disk_));
-    auto state = recover(report);
-    if (state.isError() && leavesDoubt(state.error()))
-        markFailed();
+    auto state = TRY(read(report));
+    auto const prepared = prepare(state);
+    state.isDurable = !prepared.isError();
+    if (prepared.isError()) {
+        report.failure = prepared.error();
+        fail(prepared.error());
+    }
     return state;
 }
 
-void Store::Engine::markFailed()
+void Store::Engine::fail(StoreError error)
 {
     file_.reset();
-    // The result is of no use: the store stays failed either way.
-    static_cast<void>(disk_.rename(std::string(healthyFile), std::string(failedFile)));
+    if (lock_ && leavesDoubt(error))
+        markFailed();
+    failure_ = std::move(error);
+}
+
+void Store::Engine::markFailed()
+{
+    // Without the mark, a batch that lacks its `Durable` record still reveals a failed sync of the log.
+    isMarkedFailed_ = !disk_.rename(std::string(healthyFile), std::string(failedFile)).isError() || isMarkedFailed_;
 }
 
-Core::Result<Consensus::RecoveredState, StoreError> Store::Engine::recover(RecoveryReport& report)
+/// Reads the state without changing anything on the disk.
+Core::Result<Consensus::RecoveredState, StoreError> Store::Engine::read(RecoveryReport& report)
 {
     auto const names = TRY(lifted(disk_.list()));
     TRY(checkFiles(names));
@@ -342,44 +369,62 @@
     state.snapshot = TRY(readSnapshot(names));
     LogReplay replay;
     TRY(readLog(names, replay, report));
-    // What was read may be in the page cache only, written by a process that ended before its fsync.
-    file_ = TRY(lifted(disk_.open(numberedName(logPrefix, files_.back().number), false)));
-    TRY(lifted(file_->sync()));
-    TRY(lifted(disk_.syncDirectory()));
-    if (!isLastBatchMarked_)
-        TRY(markDurable());
-
     // What the files end with, before the snapshot is taken into account: a new file repeats it.
     durableEnd_ = replay.end();
     LogPosition start;
     if (state.snapshot)
         start = { state.snapshot->metadata.index, state.snapshot->metadata.term };
     auto const mustReset = TRY(replay.startFrom(start, numberedName(logPrefix, files_.front().number)));
+    mustRewrite_ = mustRewrite_ || mustReset || isMarkedFailed_;
     hardState_ = replay.hardState;
     end_ = replay.end();
     durableHardState_ = hardState_;
-    if (mustReset) {
-        batch_.add(RecordType::Reset, encodePosition(start));
-        TRY(flush());
-    }
-    TRY(removeObsolete());
     report.entries = replay.entries.size();
     state.hardState = replay.hardState;
     state.entries = std::move(replay.entries);
     return state;
 }
 
+/// Makes the state that was read durable, and the store ready to be written to.
+Core::Result<Core::Void, StoreError> Store::Engine::prepare(Consensus::RecoveredState const& state)
+{
+    removeLeftovers();
+    if (mustRewrite_)
+        return rewrite(state);
+    file_ = TRY(lifted(disk_.open(numberedName(logPrefix, files_.back().number), false)));
+    TRY(lifted(file_->sync()));
+    TRY(lifted(disk_.syncDirectory()));
+    return removeObsolete();
+}
+
+/// Removes unfinished files. A failure does no harm: they are replaced or removed later.
+void Store::Engine::removeLeftovers()
+{
+    auto const names = disk_.list();
+    if (names.isError())
+        return;
+    for (auto const& name : names.value()) {
+        if (isOwnFile(name) && name.ends_with(temporarySuffix))
+            static_cast<void>(disk_.remove(name));
+    }
+}
+
 Core::Result<Consensus::PersistSequence, StoreError> Store::Engine::persist(
     std::span<Consensus::PersistRequest const> requests)
 {
-    if (failure_)
+    // A request with the whole state makes those before it superfluous, including those that failed.
+    auto const complete
+        = std::ranges::find(requests.rbegin(), requests.rend(), true, &Consensus::PersistRequest::replacesAll);
+    if (complete != requests.rend())
+        requests = requests.last(static_cast<std::size_t>(complete - requests.rbegin()) + 1);
+    else if (failure_)
         return *failure_;
     auto result = write(requests);
     if (result.isError()) {
-        failure_ = result.error();
-        markFailed();
+        fail(result.error());
         return *failure_;
     }
+    failure_.reset();
     return requests.empty() ? Consensus::PersistSequence {} : requests.back().sequence;
 }
 
@@ -387,6 +432,10 @@
 {
     auto hasSnapshot = false;
     for (auto const& request : requests) {
+        if (request.replacesAll) {
+            TRY(rewrite({ request.hardState.value_or(Consensus::HardState {}), request.snapshot, request.entries }));
+            continue;
+        }
         if (request.snapshot) {
             // The snapshot may contain entries of this very batch.
             TRY(flush());
@@ -401,6 +450,44 @@
     return Core::Void {};
 }
 
+/// Writes the whole state into new files and continues with them. Nothing that was written before counts any more, so
+/// this also recovers from a failed sync, after which the content of the old files is unknown.
+Core::Result<Core::Void, StoreError> Store::Engine::rewrite(Consensus::RecoveredState const& state)
+{
+    file_.reset();
+    batch_ = {};
+    LogPosition start;
+    if (state.snapshot) {
+        start = { state.snapshot->metadata.index, state.snapshot->metadata.term };
+        TRY(writeSnapshot(*state.snapshot));
+    }
+    Batch whole;
+    whole.add(RecordType::Reset, encodePosition(start));
+    whole.add(RecordType::HardState, Consensus::encodeHardState(state.hardState));
+    for (auto const& entry : state.entries)
+        whole.add(RecordType::Entry, Consensus::encodeEntry(entry));
+    auto const number = files_.empty() ? 1 : files_.back().number + 1;
+    auto const name = numberedName(logPrefix, number);
+    auto const bytes = encodeFileHeader(number, nextBatch_) + whole.encode(number, nextBatch_);
+    TRY(lifted(writeFileAtomically(disk_, name, bytes)));
+    files_ = { { number, start.index } };
+    ++nextBatch_;
+    fileSize_ = bytes.size();
+    bytesWritten_ += bytes.size();
+    hardState_ = state.hardState;
+    durableHardState_ = hardState_;
+    end_ = state.entries.empty() ? start : LogPosition { state.entries.back().index, state.entries.back().term };
+    durableEnd_ = end_;
+    file_ = TRY(lifted(disk_.open(name, false)));
+    TRY(markDurable());
+    if (isMarkedFailed_) {
+        TRY(lifted(disk_.rename(std::string(failedFile), std::string(healthyFile))));
+        TRY(lifted(disk_.syncDirectory()));
+        isMarkedFailed_ = false;
+    }
+    return removeObsolete();
+}
+
 void Store::Engine::add(Consensus::PersistRequest const& request)
 {
     if (request.snapshot && request.discardsLog) {
@@ -483,14 +570,21 @@
 /// crash leaves no gap between the files.
 Core::Result<Core::Void, StoreError> Store::Engine::removeObsolete()
 {
+    // Files that a rewrite replaced.
+    auto const names = TRY(lifted(disk_.list()));
+    for (auto const number : numbersOf(names, logPrefix)) {
+        if (number < files_.front().number)
+            TRY(lifted(disk_.remove(numberedName(logPrefix, number))));
+    }
     if (snapshots_.empty())
         return Core::Void {};
     auto const newest = *std::ranges::max_element(snapshots_);
-    for (auto const index : snapshots_) {
-        if (index != newest)
-            TRY(lifted(disk_.remove(numberedName(snapshotPrefix, index.value))));
+    auto const isObsolete = [&](auto index) { return index != newest; };
+    for (auto old = std::ranges::find_if(snapshots_, isObsolete); old != snapshots_.end();
+         old = std::ranges::find_if(snapshots_, isObsolete)) {
+        TRY(lifted(disk_.remove(numberedName(snapshotPrefix, old->value))));
+        snapshots_.erase(old);
     }
-    snapshots_ = { newest };
     while (files_.size() > 1 && files_[1].firstPrevious <= newest) {
         TRY(lifted(disk_.remove(numberedName(logPrefix, files_.front().number))));
         TRY(lifted(disk_.syncDirectory()));
@@ -509,7 +603,11 @@
 Core::Result<Core::Void, StoreError> Store::create(
     DiskInterface& disk, StoreSettings const& settings, Consensus::RecoveredState const& state)
 {
-    return Engine(disk, settings).create(state);
+    Engine engine(disk, settings);
+    auto created = engine.create(state);
+    if (created.isError())
+        engine.fail(created.error());
+    return created;
 }
 
 Core::Result<Store::Opened, StoreError> Store::open(DiskInterface& disk, StoreSettings const& settings)
--- a/Libraries/LibStorage/Store.h
+++ b/Libraries/LibStorage/Store.h
@@ -4,6 +4,7 @@
 #include <LibStorage/StoreError.h>
 
 #include <memory>
+#include <optional>
 #include <span>
 
 namespace Storage {
@@ -23,6 +24,8 @@
     std::uint64_t bytesRead { 0 };
     /// Bytes of an unfinished write that were cut off the end of the log.
     std::uint64_t tornBytes { 0 };
+    /// Why the state that was read could not be made durable. Empty if it is durable.
+    std::optional<StoreError> failure;
 };
 
 /// The durable state of one control host. Every call blocks; meant for one storage thread. The disk must outlive it.
@@ -39,8 +42,9 @@
     static Core::Result<Core::Void, StoreError> create(
         DiskInterface&, StoreSettings const&, Consensus::RecoveredState const&);
 
-    /// Locks the directory, checks its identity and reads the state. A torn write at the end of the log is cut off; any
-    /// other damage is an error.
+    /// Locks the directory, checks its identity and reads the state. A torn write at the end of the log is dropped; any
+    /// other damage is an error. `state.isDurable` is false if the state could be read but the disk accepts no writes;
+    /// the store then is in the state after a failed `persist`.
     static Core::Result<Opened, StoreError> open(DiskInterface&, StoreSettings const&);
 
     ~Store();
@@ -48,7 +52,8 @@
     Store& operator=(Store const&) = delete;
 
     /// Makes all requests durable, with one fsync unless a snapshot is among them, and returns the last sequence. After
-    /// an error every later call fails with the same error; the process must not act as a voter any more.
+    /// an error, every later call fails with the same error until one includes a request with
+    /// `PersistRequest::replacesAll`, which makes the requests before it superfluous.
     Core::Result<Consensus::PersistSequence, StoreError> persist(std::span<Consensus::PersistRequest const>);
 
     /// Bytes written to the log and to snapshots since the store was opened.
--- a/Libraries/LibStorage/StoreError.cpp
+++ b/Libraries/LibStorage/StoreError.cpp
@@ -1,5 +1,6 @@
 #include <LibStorage/StoreError.h>
 
+#include <cerrno>
 #include <system_error>
 
 namespace Storage {
@@ -23,6 +24,12 @@
     return "unknown";
 }
 
+bool isTransient(StoreError const& error)
+{
+    auto const* const disk = std::get_if<DiskError>(&error);
+    return disk && (disk->isDiskFull() || disk->errorNumber == EIO);
+}
+
 std::string describe(StoreError const& error)
 {
     return std::visit(
@@ -46,7 +53,6 @@
             [](UnsupportedVersion const& version) {
                 return version.file + " has version " + std::to_string(version.version);
             },
-            [](FailedEarlier const&) { return std::string("the disk failed earlier"); },
         },
         error);
 }
--- a/Libraries/LibStorage/StoreError.h
+++ b/Libraries/LibStorage/StoreError.h
@@ -49,12 +49,11 @@
     std::uint32_t version { 0 };
 };
 
-/// The disk failed earlier, in this process or the one before. What the page cache holds may not be on the disk, so the
-/// store stays closed.
-struct FailedEarlier { };
-
 using StoreError = std::variant<DiskError, DirectoryInUse, NotInitialized, AlreadyInitialized, IdentityMismatch,
-    Corruption, UnsupportedVersion, FailedEarlier>;
+    Corruption, UnsupportedVersion>;
+
+/// Whether the cause is a disk that may take writes again later, so that it is worth waiting.
+bool isTransient(StoreError const&);
 
 /// A sentence for people. Programs use the type.
 std::string describe(StoreError const&);
--- a/Libraries/LibTelemetry/Event.h
+++ b/Libraries/LibTelemetry/Event.h
@@ -35,6 +35,7 @@
     DataDirectoryRejected = 211,
     PeerUnreachable = 212,
     PeerReachable = 213,
+    StorageRestored = 214,
     // Control state: 300 to 399.
     EditAccepted = 300,
     EditRejected = 301,
--- a/Libraries/LibTelemetry/Metrics.cpp
+++ b/Libraries/LibTelemetry/Metrics.cpp
@@ -85,6 +85,8 @@
     Family<Gauge>& raftLeader = gauge(r, "primroseshift_raft_leader", "Whether this host is the control leader.");
     Family<Gauge>& raftQuorum = gauge(
         r, "primroseshift_raft_quorum", "Whether this host reaches a majority, as leader or through the leader.");
+    Family<Gauge>& storageSound
+        = gauge(r, "primroseshift_storage_sound", "Whether the disk of this host accepts writes.");
     Family<Counter>& elections = counter(r, "primroseshift_elections_total", "Elections this host started.");
     Family<Histogram>& commitSeconds = histogram(r, "primroseshift_commit_seconds", "Time from proposal to commit.");
     Family<Histogram>& syncSeconds = histogram(r, "primroseshift_sync_seconds", "Duration of an fsync of the log.");
@@ -256,6 +258,8 @@
     f.set(f.raftQuorum, {}, hasQuorum ? 1 : 0);
 }
 
+void Metrics::setStorageSound(bool isSound) { families_->set(families_->storageSound, {}, isSound ? 1 : 0); }
+
 void Metrics::countElection() { families_->add(families_->elections, {}, 1); }
 void Metrics::observeCommit(Core::Duration duration) { families_->observe(families_->commitSeconds, {}, duration); }
 void Metrics::observeSync(Core::Duration duration) { families_->observe(families_->syncSeconds, {}, duration); }
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -54,6 +54,7 @@
     void setReady(bool);
     void setRevision(Core::Revision applied);
     void setInEffectRevision(Core::Revision);
+    void setStorageSound(bool);
     void setRaft(std::uint64_t term, std::uint64_t commitIndex, bool isLeader, bool hasQuorum);
     void countElection();
     void observeCommit(Core::Duration);
--- a/Services/Daemon/ControlNode.cpp
+++ b/Services/Daemon/ControlNode.cpp
@@ -73,6 +73,9 @@
           [&loop = dependencies.loop](std::function<void()> function) { loop.post(std::move(function)); },
           std::move(opened.store), [this](auto const& result, Core::Duration took) { onPersisted(result, took); }))
 {
+    if (opened.report.failure)
+        dependencies_.events.write(
+            Telemetry::EventId::StorageFailed, { { "error", Storage::describe(*opened.report.failure) } });
     for (auto const& peer : settings.controlPeers)
         peers_.emplace(peer.name, peer.rpc);
     step(Consensus::Tick {});
@@ -336,6 +339,7 @@
     auto const status = node_.status();
     auto const isLeader = status.role == Consensus::Role::Leader;
     auto const hasQuorum = isLeader ? node_.authorityUntil().has_value() : status.leader.has_value();
+    dependencies_.metrics.setStorageSound(node_.isStorageSound());
     dependencies_.metrics.setRaft(status.term.value, status.commitIndex.value, isLeader, hasQuorum);
     dependencies_.metrics.setOrderLedger(state_.ledger().size(), settings_.orders.maxEntries);
     if (hasQuorum != std::exchange(hadQuorum_, hasQuorum))
@@ -346,13 +350,17 @@
     Core::Result<Consensus::PersistSequence, Storage::StoreError> const& result, Core::Duration took)
 {
     dependencies_.metrics.observeSync(took);
+    auto const wasSound = node_.isStorageSound();
     if (result.isError()) {
-        dependencies_.events.write(
-            Telemetry::EventId::StorageFailed, { { "error", Storage::describe(result.error()) } });
+        if (wasSound)
+            dependencies_.events.write(
+                Telemetry::EventId::StorageFailed, { { "error", Storage::describe(result.error()) } });
         step(Consensus::StorageFailed {});
         return;
     }
     step(Consensus::Persisted { result.value() });
+    if (!wasSound && node_.isStorageSound())
+        dependencies_.events.write(Telemetry::EventId::StorageRestored);
 }
 
 } // namespace Daemon
--- a/Tests/LibConsensus/Simulation.cpp
+++ b/Tests/LibConsensus/Simulation.cpp
@@ -95,14 +95,8 @@
 {
     auto& host = hosts_.at(name);
     auto opened = Storage::Store::open(*host.disk, { clusterId, { name }, segmentBytes });
-    if (opened.isError()) {
-        auto const isDiskError = std::holds_alternative<Storage::DiskError>(opened.error())
-            || std::holds_alternative<Storage::FailedEarlier>(opened.error());
-        host.isFailed = host.isFailed || (host.hasDiskFault && isDiskError);
-        if (!host.isFailed)
-            recordViolation(concatenate(name, " cannot restart: ", Storage::describe(opened.error())));
-        return;
-    }
+    if (opened.isError())
+        return recordViolation(concatenate(name, " cannot restart: ", Storage::describe(opened.error())));
     checkRecovered(name, host, opened.value().state);
     auto& [store, state, report] = opened.value();
     host.store = std::move(store);
@@ -124,15 +118,9 @@
     auto& host = hosts_.at(name);
     if (!host.node)
         return;
-    if (isTorn && !host.writes.empty() && !host.isFailed) {
+    if (isTorn && !host.writes.empty()) {
         host.disk->dieAfter(random_.below(4));
-        for (auto const& request : host.writes) {
-            auto const replaced = request.discardsLog ? 0
-                : request.entries.empty() ? host.uncertainFrom.value_or(std::numeric_limits<std::uint64_t>::max())
-                                          : request.entries.front().index.value;
-            host.uncertainFrom
-                = std::min(host.uncertainFrom.value_or(std::numeric_limits<std::uint64_t>::max()), replaced);
-        }
+        markUncertain(host, host.writes);
         static_cast<void>(host.store->persist(host.writes));
     }
     host.writes.clear();
@@ -158,7 +146,7 @@
 void Simulation::restart(Name const& name)
 {
     auto const& host = hosts_.at(name);
-    if (!host.node && !host.isFailed)
+    if (!host.node)
         start(name);
 }
 
@@ -187,16 +175,16 @@
 
 void Simulation::crashInNextWrite(Name const& name) { hosts_.at(name).crashesInWrite = true; }
 
-void Simulation::failNextSync(Name const& name)
-{
-    hosts_.at(name).hasDiskFault = true;
-    hosts_.at(name).disk->failSyncAfter(0);
-}
+void Simulation::failNextSync(Name const& name) { hosts_.at(name).disk->failSyncAfter(0); }
 
-void Simulation::fillDisk(Name const& name)
+void Simulation::fillDisk(Name const& name) { hosts_.at(name).disk->setFreeBytes(200); }
+
+void Simulation::freeDisk(Name const& name) { hosts_.at(name).disk->setFreeBytes(std::nullopt); }
+
+bool Simulation::isFailed(Name const& name) const
 {
-    hosts_.at(name).hasDiskFault = true;
-    hosts_.at(name).disk->setFreeBytes(200);
+    auto const& host = hosts_.at(name);
+    return host.node && !host.node->isStorageSound();
 }
 
 void Simulation::setDiskLatency(Name const& name, Core::Duration min, Core::Duration max)
@@ -319,7 +307,7 @@
 void Simulation::scheduleWrite(Name const& name)
 {
     auto& host = hosts_.at(name);
-    if (host.isWriting || host.isPaused || host.isFailed || host.writes.empty())
+    if (host.isWriting || host.isPaused || host.writes.empty())
         return;
     host.isWriting = true;
     schedule(between(host.diskMin, host.diskMax), [this, name, generation = host.generation] {
@@ -341,8 +329,9 @@
     auto const writes = std::exchange(host.writes, {});
     auto const result = host.store->persist(writes);
     if (result.isError()) {
-        host.isFailed = true;
+        markUncertain(host, writes);
         deliver(name, StorageFailed {});
+        scheduleWrite(name);
         return;
     }
     for (auto const& request : writes)
@@ -351,9 +340,41 @@
     scheduleWrite(name);
 }
 
+void Simulation::markUncertain(Host& host, std::span<PersistRequest const> writes)
+{
+    auto const none = std::numeric_limits<std::uint64_t>::max();
+    for (auto const& request : writes) {
+        auto replaced = none;
+        if (request.discardsLog)
+            replaced = 0;
+        else if (request.replacesAll)
+            replaced = firstDifference(host.durable, request);
+        else if (!request.entries.empty())
+            replaced = request.entries.front().index.value;
+        host.uncertainFrom = std::min(host.uncertainFrom.value_or(none), replaced);
+    }
+}
+
+std::uint64_t Simulation::firstDifference(DurableState const& durable, PersistRequest const& request)
+{
+    auto const snapshotIndex = request.snapshot ? request.snapshot->metadata.index.value : 0;
+    for (auto const& [index, term] : durable.entries) {
+        if (index <= snapshotIndex)
+            continue;
+        auto const found = std::ranges::find(request.entries, LogIndex { index }, &LogEntry::index);
+        if (found == request.entries.end() || found->term != term)
+            return index;
+    }
+    return durable.lastIndex() + 1;
+}
+
 void Simulation::recordDurable(Host& host, PersistRequest const& request)
 {
     auto& durable = host.durable;
+    if (request.replacesAll) {
+        durable.entries.clear();
+        host.uncertainFrom.reset();
+    }
     if (request.snapshot) {
         durable.snapshotIndex = std::max(durable.snapshotIndex, request.snapshot->metadata.index.value);
         if (request.discardsLog)
@@ -457,6 +478,7 @@
     setLoss(0, 0);
     for (auto const& name : names()) {
         hosts_.at(name).crashesInWrite = false;
+        freeDisk(name);
         resume(name);
         restart(name);
         setDiskLatency(name, options_.diskMin, options_.diskMax);
@@ -470,7 +492,7 @@
         return std::ranges::all_of(names(), [&](auto const& name) {
             auto const& host = hosts_.at(name);
             auto const isMember = status.configuration.isMember({ name });
-            return !isMember || host.isFailed || (host.node && host.tokens == committedTokens_);
+            return !isMember || (host.node && !isFailed(name) && host.tokens == committedTokens_);
         });
     };
     return runUntil(isEverywhere, std::chrono::seconds(20));
@@ -501,7 +523,7 @@
     std::ostringstream text;
     text << "committed " << committed_.size() << '\n';
     for (auto const& [name, host] : hosts_) {
-        text << "  " << name << (host.isPaused ? " paused" : "") << (host.isFailed ? " failed" : "");
+        text << "  " << name << (host.isPaused ? " paused" : "") << (isFailed(name) ? " failed" : "");
         if (!host.node) {
             text << " down\n";
             continue;
--- a/Tests/LibConsensus/Simulation.h
+++ b/Tests/LibConsensus/Simulation.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <queue>
 #include <set>
+#include <span>
 
 namespace Test {
 
@@ -57,9 +58,11 @@
     void resume(Name const&);
     /// Simulates a power loss of the host in the middle of its next write.
     void crashInNextWrite(Name const&);
-    /// Makes the next fsync of the host fail, which halts its node.
+    /// Makes the next fsync of the host fail. The data counts as written afterwards, although it is not.
     void failNextSync(Name const&);
+    /// Leaves 200 bytes on the disk of the host, until `freeDisk`.
     void fillDisk(Name const&);
+    void freeDisk(Name const&);
     void setDiskLatency(Name const&, Core::Duration min, Core::Duration max);
 
     void block(Name const& from, Name const& to) { blocked_.insert({ from, to }); }
@@ -80,7 +83,7 @@
     /// Runs until the condition is true. Returns false if that does not happen within the limit or if an invariant is
     /// violated.
     bool runUntil(std::function<bool()> const&, Core::Duration limit);
-    /// Removes all network faults, resumes and restarts all hosts that can be restarted, and waits until all members
+    /// Removes all faults of networks and disks, resumes and restarts all hosts, and waits until all members
     /// have applied a new proposal. Returns false if that takes too long.
     bool recoverAndConverge();
 
@@ -92,7 +95,8 @@
     }
     bool isReady(Name const&) const;
     bool isRunning(Name const&) const;
-    bool isFailed(Name const& name) const { return hosts_.at(name).isFailed; }
+    /// Whether the host runs and its store has failed and not recovered yet.
+    bool isFailed(Name const& name) const;
     bool isPaused(Name const& name) const { return hosts_.at(name).isPaused; }
     Consensus::Node const& node(Name const& name) const { return *hosts_.at(name).node; }
     Consensus::Status status(Name const& name) const { return node(name).status(); }
@@ -140,8 +144,6 @@
         Core::Duration diskMax { 0 };
         std::uint64_t generation { 0 };
         bool isPaused { false };
-        bool isFailed { false };
-        bool hasDiskFault { false };
         bool crashesInWrite { false };
         std::vector<Consensus::Event> queuedEvents;
         std::optional<Core::Duration> scheduledTick;
@@ -149,7 +151,7 @@
         std::vector<Consensus::PersistRequest> writes;
         bool isWriting { false };
         DurableState durable;
-        /// Index from which on entries may have been replaced by a write that a crash interrupted.
+        /// Index from which on entries may have been replaced by a write that a crash interrupted or that failed.
         std::optional<std::uint64_t> uncertainFrom;
         /// The highest term in a message of this host, across restarts.
         Consensus::Term highestSentTerm;
@@ -178,6 +180,10 @@
     Core::Duration between(Core::Duration min, Core::Duration max);
     bool happens(double ratio) { return ratio > 0 && random_.unit() < ratio; }
     void addHost(Name const&, Consensus::RecoveredState const&);
+    /// Records that any part of these writes may be found after a restart.
+    static void markUncertain(Host&, std::span<Consensus::PersistRequest const>);
+    /// Returns the first index at which the durable entries differ from a request that replaces them all.
+    static std::uint64_t firstDifference(DurableState const&, Consensus::PersistRequest const&);
     void start(Name const&);
     void stop(Name const&, bool isTorn);
     void deliver(Name const&, Consensus::Event);
--- a/Tests/LibConsensus/SimulationChecks.cpp
+++ b/Tests/LibConsensus/SimulationChecks.cpp
@@ -22,7 +22,7 @@
         checkMessage(name, host, message);
     if (actions.roleChange && actions.roleChange->role == Role::Leader)
         checkNewLeader(name, host);
-    if (node.role() == Role::Halted && !host.isFailed)
+    if (node.role() == Role::Halted)
         recordViolation(concatenate(name, " received an entry that conflicts with a committed one"));
     if (actions.restore)
         checkRestored(name, host, *actions.restore);
@@ -173,8 +173,11 @@
         recordViolation(concatenate(name, " lost its term or vote"));
     if (recovered.snapshotIndex < host.durable.snapshotIndex)
         recordViolation(concatenate(name, " lost its snapshot"));
-    host.durable = std::move(recovered);
-    host.uncertainFrom.reset();
+    // Otherwise the next rewrite of the store makes it durable.
+    if (state.isDurable) {
+        host.durable = std::move(recovered);
+        host.uncertainFrom.reset();
+    }
 }
 
 void Simulation::checkAnswers(Name const& name, Actions const& actions)
--- a/Tests/LibConsensus/TestChaos.cpp
+++ b/Tests/LibConsensus/TestChaos.cpp
@@ -24,7 +24,7 @@
             names.push_back(newName());
         simulation_.bootstrap(names);
         mayChangeMembers_ = random_.below(2) == 0;
-        mayFailDisk_ = random_.below(4) == 0;
+        mayFailDisks_ = random_.below(2) == 0;
     }
 
     /// Runs the test. Returns a description of the first violated invariant, or an empty string.
@@ -89,7 +89,7 @@
     void injectFault()
     {
         auto const host = randomHost();
-        switch (random_.below(16)) {
+        switch (random_.below(18)) {
         case 0:
             simulation_.crash(host, random_.below(2) == 0);
             break;
@@ -156,16 +156,23 @@
         }
     }
 
-    /// Fails at most one disk per run, so that a majority of the voters remains.
+    /// Disks fail in series and at the same time, on any number of hosts.
     void failDisk(std::string const& host)
     {
-        if (!mayFailDisk_ || mayChangeMembers_)
+        if (!mayFailDisks_)
             return;
-        mayFailDisk_ = false;
-        if (random_.below(2) == 0)
+        switch (random_.below(3)) {
+        case 0:
             simulation_.failNextSync(host);
-        else
+            break;
+        case 1:
             simulation_.fillDisk(host);
+            break;
+        default:
+            for (auto const& name : simulation_.names())
+                simulation_.freeDisk(name);
+            break;
+        }
     }
 
     static constexpr unsigned maxHosts = 9;
@@ -174,7 +181,7 @@
     Simulation simulation_;
     unsigned nextName_ { 0 };
     bool mayChangeMembers_ { false };
-    bool mayFailDisk_ { false };
+    bool mayFailDisks_ { false };
 };
 
 } // namespace
--- a/Tests/LibConsensus/TestNode.cpp
+++ b/Tests/LibConsensus/TestNode.cpp
@@ -502,20 +502,67 @@
     BOOST_TEST((actions.wakeAt == Core::TimePoint::max()));
 }
 
-BOOST_AUTO_TEST_CASE(NodeWithAFailedStoreIgnoresMessages)
+BOOST_AUTO_TEST_CASE(LeaderWithAFailedStoreStepsDownAtOnce)
 {
     Driver driver;
     driver.lead();
     driver.step(propose(1));
     auto const failed = driver.step(StorageFailed {});
     BOOST_TEST(hasOutcome<Unresolved>(failed, 1));
-    driver.wait(2s);
-    BOOST_TEST(driver.step(Tick {}).messages.empty());
-    BOOST_TEST(driver.receive(b, 9, VoteRequest { { 9 }, { 9 }, { 9 }, false, true }).messages.empty());
-    BOOST_TEST(driver.receive(b, 9, Heartbeat { { 1 }, {} }).messages.empty());
+    BOOST_TEST((driver.node().role() == Role::Follower));
+    BOOST_TEST(!driver.node().authorityUntil().has_value());
+    BOOST_TEST(bodies<TimeoutNow>(failed).size() == 1U);
     BOOST_TEST(hasOutcome<NotLeader>(driver.step(propose(2)), 2));
 }
 
+BOOST_AUTO_TEST_CASE(NodeWithAFailedStoreNeitherVotesNorCampaigns)
+{
+    Driver driver;
+    driver.lead();
+    auto const term = driver.node().term();
+    driver.step(StorageFailed {});
+    driver.wait(450ms);
+    auto const preVote = driver.receive(b, term.value, VoteRequest { term.next(), { 99 }, { 99 }, true, false });
+    BOOST_REQUIRE(bodies<VoteResponse>(preVote).size() == 1U);
+    BOOST_TEST(!bodies<VoteResponse>(preVote).front().isGranted);
+    BOOST_TEST(bodies<VoteRequest>(driver.step(Tick {})).empty());
+    // A vote, a term or an entry that cannot be made durable is not answered.
+    BOOST_TEST(driver.receive(b, 9, VoteRequest { { 9 }, { 99 }, { 9 }, false, true }).messages.empty());
+    BOOST_TEST(driver.receive(b, 9, Heartbeat { { 1 }, {} }).messages.empty());
+    BOOST_TEST(driver.receive(b, 9, TimeoutNow {}).messages.empty());
+    // It follows the leader of the new term in memory.
+    BOOST_TEST((driver.node().status().leader == b));
+    BOOST_TEST((driver.node().term().value == 9U));
+}
+
+BOOST_AUTO_TEST_CASE(NodeWithAFailedStoreReturnsOnceItsWholeStateIsDurable)
+{
+    Driver driver;
+    driver.lead();
+    driver.step(propose(1));
+    driver.step(StorageFailed {});
+    // Writes that the store ignores are not sent.
+    BOOST_TEST(driver.receive(b, 9, Heartbeat { { 1 }, {} }).persist.empty());
+    driver.wait(501ms);
+    auto const retried = driver.step(Tick {});
+    BOOST_REQUIRE(retried.persist.size() == 1U);
+    auto const& request = retried.persist.front();
+    BOOST_TEST(request.replacesAll);
+    BOOST_TEST((request.hardState->term.value == 9U));
+    BOOST_TEST(request.entries.size() == driver.node().lastIndex().value);
+    // The attempt fails, so there is another one.
+    driver.step(StorageFailed {});
+    BOOST_TEST(!driver.node().isStorageSound());
+    driver.wait(501ms);
+    BOOST_REQUIRE(driver.step(Tick {}).persist.size() == 1U);
+    driver.receive(b, 9, Heartbeat { { 2 }, {} });
+    BOOST_TEST(!driver.node().isStorageSound());
+    auto const returned = driver.durable();
+    BOOST_TEST(driver.node().isStorageSound());
+    BOOST_TEST(bodies<HeartbeatResponse>(returned).size() == 1U);
+    BOOST_TEST((driver.node().status().durableIndex == driver.node().lastIndex()));
+}
+
 BOOST_AUTO_TEST_CASE(MisaddressedAndMalformedMessagesAreRefused)
 {
     Driver driver;
--- a/Tests/LibConsensus/TestScenarios.cpp
+++ b/Tests/LibConsensus/TestScenarios.cpp
@@ -286,22 +286,32 @@
     content = intact;
 }
 
-BOOST_AUTO_TEST_CASE(FailedFsyncOfAFollowerHaltsItPermanently)
+// Guards against a follower that stays out of the group for good after one failed fsync.
+BOOST_AUTO_TEST_CASE(FollowerRecoversFromAFailedFsyncByItself)
 {
     Cluster cluster;
     auto& simulation = cluster.simulation;
     cluster.commit(10);
     auto const victim = cluster.follower();
+    auto const term = simulation.node(cluster.leader()).term();
     simulation.failNextSync(victim);
     cluster.commit(10);
     simulation.runFor(100ms);
     BOOST_TEST(simulation.isFailed(victim));
-    BOOST_TEST((simulation.node(victim).role() == Role::Halted));
-    auto const term = simulation.node(cluster.leader()).term();
-    simulation.runFor(10s);
+    auto const durable = simulation.status(victim).durableIndex;
+    cluster.commit(10);
+    // The host follows in memory, and acknowledges nothing.
+    BOOST_TEST((simulation.status(victim).durableIndex == durable));
+    BOOST_TEST((simulation.node(victim).role() == Role::Follower));
+    simulation.runFor(2s);
+    BOOST_TEST(!simulation.isFailed(victim));
+    BOOST_TEST((simulation.status(victim).durableIndex == simulation.node(cluster.leader()).lastIndex()));
     BOOST_TEST((simulation.node(cluster.leader()).term() == term));
-    cluster.change(RemoveMember { { victim } });
-    cluster.add("d");
+    // What it acknowledged since then survives a power loss.
+    simulation.crash(victim);
+    simulation.restart(victim);
+    BOOST_TEST(!simulation.isFailed(victim));
+    cluster.commit(10);
 }
 
 BOOST_AUTO_TEST_CASE(FailedFsyncOfTheLeaderCausesFailoverWithoutLoss)
@@ -313,13 +323,15 @@
     simulation.failNextSync(victim);
     simulation.propose(victim);
     simulation.runFor(100ms);
-    BOOST_TEST((simulation.node(victim).role() == Role::Halted));
+    BOOST_TEST((simulation.node(victim).role() == Role::Follower));
     BOOST_REQUIRE(simulation.waitForLeader());
     BOOST_TEST(cluster.leader() != victim);
     cluster.commit(10);
+    simulation.runFor(2s);
+    BOOST_TEST(!simulation.isFailed(victim));
 }
 
-BOOST_AUTO_TEST_CASE(FullDiskHaltsTheHost)
+BOOST_AUTO_TEST_CASE(LeaderWithAFullDiskHandsOverAtOnce)
 {
     Cluster cluster;
     auto& simulation = cluster.simulation;
@@ -328,10 +340,91 @@
     simulation.fillDisk(victim);
     for (int i = 0; i < 10; ++i)
         simulation.propose(victim);
-    simulation.runFor(200ms);
+    simulation.runFor(100ms);
     BOOST_TEST(simulation.isFailed(victim));
-    BOOST_REQUIRE(simulation.waitForLeader());
+    // No election timeout passes without a leader.
+    BOOST_REQUIRE(simulation.isReady(cluster.leader()));
+    BOOST_TEST(cluster.leader() != victim);
     cluster.commit(10);
+    // Neither votes nor elections of the host disturb the group, as long as it lasts.
+    auto const term = simulation.node(cluster.leader()).term();
+    simulation.runFor(30s);
+    BOOST_TEST(simulation.isFailed(victim));
+    BOOST_TEST((simulation.node(cluster.leader()).term() == term));
+    simulation.freeDisk(victim);
+    simulation.runFor(1s);
+    BOOST_TEST(!simulation.isFailed(victim));
+    BOOST_TEST((simulation.node(cluster.leader()).term() == term));
+}
+
+// Guards against a group that loses its quorum for good after the disks of three of five hosts were full in turn.
+BOOST_AUTO_TEST_CASE(FullDisksInTurnDoNotEndTheGroup)
+{
+    Cluster cluster(5);
+    auto& simulation = cluster.simulation;
+    for (auto const& victim : simulation.names()) {
+        simulation.fillDisk(victim);
+        for (int i = 0; i < 20; ++i)
+            simulation.propose(cluster.leader());
+        simulation.runFor(4500ms);
+        BOOST_TEST(simulation.isFailed(victim));
+        cluster.commit(20);
+        simulation.freeDisk(victim);
+        simulation.runFor(1s);
+        BOOST_TEST(!simulation.isFailed(victim));
+    }
+    cluster.commit(20);
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsAcknowledgedWhileThreeOfFiveDisksAreFull)
+{
+    Cluster cluster(5);
+    auto& simulation = cluster.simulation;
+    cluster.commit(20);
+    for (std::string const name : { "a", "b", "c" })
+        simulation.fillDisk(name);
+    std::vector<std::uint64_t> tokens;
+    for (int i = 0; i < 100; ++i) {
+        for (auto const& name : simulation.names())
+            tokens.push_back(simulation.propose(name));
+        simulation.runFor(50ms);
+    }
+    auto const count = simulation.acknowledgedCount();
+    simulation.runFor(5s);
+    BOOST_TEST(simulation.acknowledgedCount() == count);
+    BOOST_TEST(!simulation.isReady(cluster.leader()));
+    // One more host is enough for a quorum.
+    simulation.freeDisk("b");
+    BOOST_REQUIRE(simulation.waitForLeader());
+    cluster.commit(20);
+}
+
+// Guards against a process that ends, or stays out for good, when it is restarted while its disk is full.
+BOOST_AUTO_TEST_CASE(HostThatIsRestartedWithAFullDiskRejoinsByItself)
+{
+    for (auto const isPowerLoss : { false, true }) {
+        Cluster cluster(5);
+        auto& simulation = cluster.simulation;
+        cluster.commit(20);
+        auto const victim = cluster.follower();
+        simulation.fillDisk(victim);
+        cluster.commit(20);
+        simulation.runFor(200ms);
+        BOOST_TEST(simulation.isFailed(victim));
+        if (isPowerLoss)
+            simulation.crash(victim);
+        else
+            simulation.kill(victim);
+        simulation.restart(victim);
+        auto const term = simulation.node(cluster.leader()).term();
+        simulation.runFor(3s);
+        BOOST_REQUIRE(simulation.isRunning(victim));
+        cluster.commit(20);
+        simulation.freeDisk(victim);
+        simulation.runFor(1s);
+        BOOST_TEST(!simulation.isFailed(victim));
+        BOOST_TEST((simulation.node(cluster.leader()).term() == term));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(MessageOfAnotherClusterIsRefused)
--- a/Tests/LibStorage/FakeDisk.cpp
+++ b/Tests/LibStorage/FakeDisk.cpp
@@ -36,14 +36,6 @@
         return Core::Void {};
     }
 
-    Core::Result<Core::Void, DiskError> truncate(std::uint64_t size) override
-    {
-        if (!disk_.countOperation())
-            return DiskError { DiskOperation::Truncate, name_, EIO };
-        inode_->content.resize(size);
-        return Core::Void {};
-    }
-
     Core::Result<Core::Void, DiskError> sync() override { return disk_.sync(name_, *inode_); }
 
 private:
--- a/Tests/LibTelemetry/TestMetrics.cpp
+++ b/Tests/LibTelemetry/TestMetrics.cpp
@@ -38,6 +38,7 @@
     metrics.setRevision({ 1 });
     metrics.setInEffectRevision({ 1 });
     metrics.setRaft(1, 1, true, true);
+    metrics.setStorageSound(true);
     metrics.countElection();
     metrics.observeCommit(1ms);
     metrics.observeSync(1ms);
