--- a/Services/Daemon/Main.cpp
+++ b/Services/Daemon/Main.cpp
@@ -70,6 +70,8 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    // A write beyond a file size limit fails instead, like one to a full disk.
+    std::signal(SIGXFSZ, SIG_IGN);
     return signals;
 }
 
