Refuse requests in the second half of a short grace

Cause: the time for which requests are taken (2.9 s) and the reserve before the exit (250 ms) were constants, while the deadline of answers follows the grace. With a grace of 1 s the process exited after 0.75 s, before that deadline (0.83 s).

Change: requests are taken in the first half of the grace, 2.9 s at most; connections up to the deadline of answers, so that callers get the refusal; the reserve is at most a third of the answer margin. The grace counts from the moment at which the process received the signal. The daemon's own path refuses new requests from the start of a drain on; a test now says so.

--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -13,9 +13,11 @@
     /// Time until the load balancer has noticed that the host is not ready: it probes once a second and needs two
     /// failed probes.
     constexpr Core::Duration balancerDelay = std::chrono::milliseconds(2600);
-    /// Time for which a stopping host accepts requests. Later ones would be cut off by the exit of the process: a load
-    /// balancer may keep sending connections if no other host is ready.
-    constexpr Core::Duration acceptTime = std::chrono::milliseconds(2900);
+    /// Longest time for which a stopping host accepts requests. The platform requires that a running request is waited
+    /// for only if it was sent within 3 s. A load balancer may keep sending connections if no other host is ready.
+    constexpr Core::Duration maxAcceptTime = std::chrono::milliseconds(2900);
+    /// Requests are accepted in the first half of the grace, so that each of them has at least a third of it.
+    constexpr int acceptDivisor = 2;
     constexpr Core::Duration stopCheckInterval = std::chrono::milliseconds(50);
     /// Every request is answered this long before the end of the grace, so that its answer has half a second to be
     /// transmitted over the host's network link.
@@ -24,7 +26,10 @@
     /// request until the last sixth of the grace.
     constexpr int answerMarginDivisor = 6;
     /// Reserved at the end of the grace, so that the process exits before it is killed.
-    constexpr Core::Duration stopMargin = std::chrono::milliseconds(250);
+    constexpr Core::Duration maxStopMargin = std::chrono::milliseconds(250);
+    /// The stop margin is at most this fraction of the answer margin, so that with a short grace too the answers at the
+    /// deadline precede the exit.
+    constexpr int stopMarginDivisor = 3;
 
 } // namespace
 
@@ -56,16 +61,22 @@
     events_.reportSuppressed();
 }
 
+Core::Duration EntryHost::acceptTime() const { return std::min(maxAcceptTime, settings_.stopGrace / acceptDivisor); }
+
+Core::Duration EntryHost::listenTime() const { return std::min(maxAcceptTime, settings_.stopGrace - answerMargin()); }
+
+Core::Duration EntryHost::stopMargin() const { return std::min(maxStopMargin, answerMargin() / stopMarginDivisor); }
+
 Core::Duration EntryHost::answerMargin() const
 {
     return std::min(maxAnswerMargin, settings_.stopGrace / answerMarginDivisor);
 }
 
-void EntryHost::beginStop()
+void EntryHost::beginStop(Core::TimePoint requestedAt)
 {
     if (std::exchange(isStopping_, true))
         return;
-    stopBegan_ = loop_.now();
+    stopBegan_ = requestedAt;
     events_.write(EventId::ProcessStopping, { { "connections", gateway_.connectionCount() } });
     gateway_.startDraining(stopBegan_ + settings_.stopGrace - answerMargin());
     continueStop();
@@ -74,14 +85,16 @@
 void EntryHost::continueStop()
 {
     auto const elapsed = loop_.now() - stopBegan_;
-    if (elapsed >= acceptTime)
-        gateway_.stopAccepting();
+    if (elapsed >= acceptTime())
+        gateway_.refuseRequests();
+    if (elapsed >= listenTime())
+        gateway_.stopListening();
     if (elapsed >= settings_.stopGrace - answerMargin())
         gateway_.refuseIncomplete();
     if (elapsed >= balancerDelay)
         gateway_.closeIdleConnections();
     auto const isDone = elapsed >= balancerDelay && gateway_.connectionCount() == 0;
-    if (isDone || elapsed >= settings_.stopGrace - stopMargin) {
+    if (isDone || elapsed >= settings_.stopGrace - stopMargin()) {
         if (!isDone)
             events_.write(EventId::ShutdownGraceExceeded,
                 { { "connections", gateway_.connectionCount() }, { "requests", gateway_.requestCount() } });
--- a/Libraries/LibGateway/EntryHost.h
+++ b/Libraries/LibGateway/EntryHost.h
@@ -27,7 +27,9 @@
     void setControlHosts(std::vector<Core::Endpoint> hosts) { leaderConnection_.setSeeds(std::move(hosts)); }
     /// Begins a graceful stop: reports not ready, keeps serving until the load balancer has noticed, then closes
     /// connections as they become idle. Stops the event loop once all connections are closed or the grace expires.
-    void beginStop();
+    void beginStop() { beginStop(loop_.now()); }
+    /// The same for a stop that was requested earlier. The grace counts from then.
+    void beginStop(Core::TimePoint requestedAt);
     Gateway const& gateway() const { return gateway_; }
 
 private:
@@ -35,8 +37,14 @@
     std::uint64_t itemRevision() const override { return gateway_.itemRevision(); }
     void sendReport();
     void continueStop();
+    /// Time from the begin of a stop for which requests are taken.
+    Core::Duration acceptTime() const;
+    /// Time from the begin of a stop for which connections are accepted.
+    Core::Duration listenTime() const;
     /// Time between the deadline of the last requests and the end of the stop grace.
     Core::Duration answerMargin() const;
+    /// Time between the exit of the process and the end of the stop grace.
+    Core::Duration stopMargin() const;
 
     Net::EventLoop& loop_;
     Telemetry::EventLog& events_;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -55,11 +55,9 @@
     }
 }
 
-void Gateway::stopAccepting()
-{
-    isAccepting_ = false;
-    server_->stopListening();
-}
+void Gateway::refuseRequests() { isAccepting_ = false; }
+
+void Gateway::stopListening() { server_->stopListening(); }
 
 void Gateway::apply(Fleet::ViewUpdate const& update)
 {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -41,8 +41,10 @@
     std::uint64_t itemRevision() const { return view_.itemRevision(); }
     /// Closes each connection after its next answer, and limits the deadline of every request to this time.
     void startDraining(Core::TimePoint deadline);
-    /// Stops accepting connections and refuses requests that still arrive on open ones.
-    void stopAccepting();
+    /// Refuses requests from now on.
+    void refuseRequests();
+    /// Accepts no connections from now on.
+    void stopListening();
     void closeIdleConnections() { server_->closeIdle(); }
     /// Refuses requests that have not been received completely.
     void refuseIncomplete() { server_->refuseIncomplete(); }
--- a/Libraries/LibNet/SignalPipe.cpp
+++ b/Libraries/LibNet/SignalPipe.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
+#include <span>
 
 namespace Net {
 
@@ -14,12 +15,18 @@
 
     volatile std::sig_atomic_t writeEnd = -1;
 
+    struct ReceivedSignal {
+        int signal { 0 };
+        Core::TimePoint receivedAt;
+    };
+
     void forwardSignal(int signal)
     {
         auto const savedError = errno;
-        auto const byte = static_cast<char>(signal);
-        // A full pipe holds enough signals to act on.
-        [[maybe_unused]] auto const written = ::write(writeEnd, &byte, 1);
+        // Reading a clock and writing to a pipe are safe in a signal handler. The pipe takes so few bytes whole or not
+        // at all, and a full pipe holds enough signals to act on.
+        ReceivedSignal const received { signal, Core::BootClock::now() };
+        [[maybe_unused]] auto const written = ::write(writeEnd, &received, sizeof received);
         errno = savedError;
     }
 
@@ -51,10 +58,13 @@
 
 void SignalPipe::onIo(bool, bool)
 {
-    std::array<char, 16> bytes {};
-    auto const count = ::read(readEnd_, bytes.data(), bytes.size());
-    for (ssize_t i = 0; i < count; ++i)
-        receiver_(bytes.at(static_cast<std::size_t>(i)));
+    std::array<ReceivedSignal, 16> received {};
+    auto const bytes = ::read(readEnd_, received.data(), sizeof received);
+    if (bytes <= 0)
+        return;
+    auto const count = static_cast<std::size_t>(bytes) / sizeof(ReceivedSignal);
+    for (auto const& [signal, receivedAt] : std::span(received).first(count))
+        receiver_(signal, receivedAt);
 }
 
 } // namespace Net
--- a/Libraries/LibNet/SignalPipe.h
+++ b/Libraries/LibNet/SignalPipe.h
@@ -9,7 +9,8 @@
 /// Turns signals of the process into calls on the loop's thread. One object at a time.
 class SignalPipe final : private IoHandler {
 public:
-    using Receiver = std::function<void(int signal)>;
+    /// The time is that at which the process received the signal, which is before the loop reads it.
+    using Receiver = std::function<void(int signal, Core::TimePoint receivedAt)>;
 
     SignalPipe(EventLoop&, std::initializer_list<int> signals, Receiver);
     ~SignalPipe() override;
--- a/Libraries/LibStorage/FramedFile.cpp
+++ b/Libraries/LibStorage/FramedFile.cpp
@@ -57,7 +57,7 @@
     DiskInterface& disk, std::string const& file, std::string_view bytes)
 {
     auto const temporary = file + std::string(temporarySuffix);
-    auto const written = writeAndSync(disk, temporary, bytes);
+    auto written = writeAndSync(disk, temporary, bytes);
     if (written.isError()) {
         // Gives the space back. If this fails too, the file is replaced or removed later.
         static_cast<void>(disk.remove(temporary));
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -447,7 +447,8 @@
     auto const open = ask(request("/safe/x", "1"));
     open->clearReceived();
     gateway.startDraining(loop.now() + 6s);
-    gateway.stopAccepting();
+    gateway.refuseRequests();
+    gateway.stopListening();
     auto const late = connect();
     BOOST_TEST(runUntil(loop, [&] { return late->isEnded(); }));
     // This connection got no Connection: close, since its last answer was sent before the drain.
--- a/Tests/LibProxy/TestStop.cpp
+++ b/Tests/LibProxy/TestStop.cpp
@@ -65,6 +65,36 @@
     BOOST_TEST(outcomeOf(peer.readMessage()) == "504 unknown deadline-exceeded");
 }
 
+// Guards against requests that are taken late in a drain, passed on, and cut off at its end.
+BOOST_AUTO_TEST_CASE(RequestsLateInADrainAreNotPassedOn)
+{
+    constexpr int lateCount = 6;
+    FakeBackend backend(staySilent);
+    Fixture const fixture({ &backend });
+    // Keeps the drain waiting until its end.
+    auto running = fixture.connect();
+    running.send(postUpload);
+    BOOST_TEST(eventually([&] { return backend.requests().size() == 1; }));
+    std::vector<Peer> late;
+    late.reserve(lateCount);
+    for (int i = 0; i < lateCount; ++i)
+        late.push_back(fixture.connect());
+    BOOST_TEST(eventually([&] { return fixture.server->counts().callerConnections == lateCount + 1U; }));
+    std::jthread const drain([&] { fixture.server->drain(limit); });
+    BOOST_TEST(eventually([&] { return fixture.server->isDraining(); }));
+    for (auto& peer : late) {
+        peer.send(postUpload);
+        std::this_thread::sleep_for(limit / lateCount);
+    }
+    BOOST_TEST(outcomeOf(running.readMessage()) == "504 unknown deadline-exceeded");
+    for (auto& peer : late) {
+        // A connection that was idle may be closed first; then nothing was read from it.
+        auto const answer = peer.readMessage();
+        BOOST_TEST((answer.empty() || outcomeOf(answer) == "503 not-run draining"), answer);
+    }
+    BOOST_TEST(backend.requests().size() == 1U);
+}
+
 // A stop without a drain, or after one that began without a limit, cut requests off in the same way.
 BOOST_AUTO_TEST_CASE(RequestAtASilentServerIsAnsweredByAStopAlone)
 {
--- a/Tests/Processes/test_full_disks.py
+++ b/Tests/Processes/test_full_disks.py
@@ -242,7 +242,8 @@
         except Failure as failure:
             print("seed %d: %s" % (seed, failure))
             for host in group.hosts:
-                print("-- %s\n%s" % (host.name, host.log() if host.process else ""))
+                if host.process:
+                    print("-- %s, exit code %s\n%s" % (host.name, host.process.poll(), host.log()))
             return 1
         finally:
             group.end()
