Start the host of the full-disk test under ThreadSanitizer without its limit

The product's code had not run.

Change: in that variant the limit is set as soon as the program ignores the signal, which it does first. The other variants still start with the limit.

--- a/Tests/Processes/test_full_disks.py
+++ b/Tests/Processes/test_full_disks.py
@@ -3,10 +3,9 @@
 
 A limit on the size of files stands in for a full disk: every write to a file fails with EFBIG, as with ENOSPC, and the
 limit can be set and lifted while the process runs.
-
-Usage: test_full_disks.py DAEMON [SEED]
 """
 
+import argparse
 import http.client
 import json
 import os
@@ -73,14 +72,29 @@
             file.write(SETTINGS.format(name=self.name, ip=self.ip, data=self.data, first=str(is_first).lower(),
                                        seeds=",".join("%s:%d" % (ip, CONTROL_PORT) for ip in self.group.seeds)))
         environment = {**os.environ, "PRIMROSESHIFT_NODE_FILE": self.settings}
-        limit = 0 if self.is_full else resource.RLIM_INFINITY
+        is_limited = self.is_full and not self.group.runtime_writes_files
+        limit = 0 if is_limited else resource.RLIM_INFINITY
         self.process = subprocess.Popen(
             [self.group.daemon, "--platform-role", "control"], env=environment, stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE, stderr=subprocess.STDOUT,
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_FSIZE, (limit, resource.RLIM_INFINITY)))
+        if self.is_full and not is_limited:
+            self.wait_for_main()
+            self.set_full(True)
         # The pipe holds all that a process logs here, and is no file, so that the limit does not apply to it.
         os.set_blocking(self.process.stdout.fileno(), False)
 
+    def wait_for_main(self):
+        """Waits until the program ignores SIGXFSZ, which is among the first things that it does."""
+        bit = 1 << (signal.SIGXFSZ - 1)
+        end = time.monotonic() + CATCH_UP_S
+        while time.monotonic() < end:
+            with open("/proc/%d/status" % self.process.pid) as file:
+                ignored = next(line for line in file if line.startswith("SigIgn:"))
+            if int(ignored.split()[1], 16) & bit:
+                return
+        raise Failure("%s does not ignore SIGXFSZ" % self.name)
+
     def set_full(self, is_full):
         self.is_full = is_full
         limit = 0 if is_full else resource.RLIM_INFINITY
@@ -108,8 +122,9 @@
 class Group:
     """Five control hosts, and an operator that adds routes and remembers which were acknowledged."""
 
-    def __init__(self, daemon, folder, seed):
+    def __init__(self, daemon, folder, seed, runtime_writes_files):
         self.daemon = os.path.abspath(daemon)
+        self.runtime_writes_files = runtime_writes_files
         self.folder = folder
         self.random = random.Random(seed)
         self.net = self.find_net()
@@ -234,9 +249,15 @@
 
 
 def main():
-    seed = int(sys.argv[2]) if len(sys.argv) > 2 else 1
+    parser = argparse.ArgumentParser()
+    parser.add_argument("daemon")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runtime-writes-files", action="store_true",
+                        help="the runtime of the compiler does not start without writing a file (ThreadSanitizer)")
+    arguments = parser.parse_args()
+    seed = arguments.seed
     with tempfile.TemporaryDirectory(prefix="primroseshift-") as folder:
-        group = Group(sys.argv[1], folder, seed)
+        group = Group(arguments.daemon, folder, seed, arguments.runtime_writes_files)
         try:
             group.run()
         except Failure as failure:
