--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -36,7 +36,7 @@
             + (isInSameDomain(index) ? Core::Duration::zero() : otherDomainPenalty);
     };
     std::ranges::sort(begin, begin + static_cast<std::ptrdiff_t>(sampledLocal + sampledRemote), {}, cost);
-    std::ranges::stable_partition(order, [&](std::size_t index) { return candidates[index].isPreferred; });
+    std::stable_partition(order.begin(), order.end(), [&](std::size_t index) { return candidates[index].isPreferred; });
     return order;
 }
 
--- a/Tests/LibGateway/TestServerBackpressure.cpp
+++ b/Tests/LibGateway/TestServerBackpressure.cpp
@@ -257,7 +257,7 @@
             for (auto now = start; now < start + 20s; now += 20ms) {
                 for (std::uint32_t i = 0; i < hosts; ++i) {
                     if (random.unit() < 0.5 && backpressures[i].tryAcquireShare(now, { hosts, i }))
-                        sends.push_back(now + random.below(20) * 1ms);
+                        sends.emplace_back(now + random.below(20) * 1ms);
                 }
             }
             std::ranges::sort(sends);
