--- a/Tests/Platform/TestServerLimits.cpp
+++ b/Tests/Platform/TestServerLimits.cpp
@@ -15,7 +15,7 @@
     LimitedServerFixture()
         : events(Telemetry::EventLog::open({ .file = "/dev/null" }, clock).value())
         , limited(loop, [this](auto const& request) { return answer(request, "Server-Limit: " + limit + "\r\n"); })
-        , unlimited(loop, [](auto const& request) { return answer(request, {}); })
+        , unlimited(loop, [](auto const& request) { return answer(request, {}, slowness); })
         , leader(loop, 0s)
     {
         for (auto const& item : { route("keyed", "/keyed/", Fleet::RequestKind::Safe, keyed),
@@ -33,10 +33,18 @@
         address = settings.callers;
     }
 
-    static FakeServer::Reaction answer(std::string const& request, std::string const& fields)
+    /// The other server is slower than one that has not answered yet is assumed to be, so that the limited one is
+    /// chosen.
+    static constexpr Core::Duration slowness = 150ms;
+
+    static FakeServer::Reaction answer(
+        std::string const& request, std::string const& fields, Core::Duration after = Core::Duration::zero())
     {
-        return { "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + headerOf(request, "X-Attempt-Id") + "\r\n" + fields
-            + "Content-Length: 4\r\n\r\ndone" };
+        FakeServer::Reaction reaction;
+        reaction.after = after;
+        reaction.bytes = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + headerOf(request, "X-Attempt-Id") + "\r\n" + fields
+            + "Content-Length: 4\r\n\r\ndone";
+        return reaction;
     }
 
     /// Sends a request every 30 ms, each on a connection of its own, and notes when the limited server gets them.
