Move hot ranges away from servers that name a limit

What callers saw: with a few hot keys, 12 to 16 in 100 requests were refused for 16 s although other servers had room. Cause: a range moves only if its destination stays within 1.05 of the mean utilization, and a hot range never does; it stayed with the owner that refuses most of its requests, while cold ranges moved. A limited server's range may now go to any unlimited server that stays below 0.8 of its slots.

The new test was run without the change and fails: the hot range stays.

--- a/Libraries/LibFleet/RangePlacement.cpp
+++ b/Libraries/LibFleet/RangePlacement.cpp
@@ -29,6 +29,8 @@
     constexpr double delayBase = 0.5;
     /// The multiple of the mean utilization that the destination of a move must not exceed.
     constexpr double destinationLimit = 1.05;
+    /// The fraction of busy slots that a server may reach by taking a range from a server that refuses its requests.
+    constexpr double maxBusyFraction = 0.8;
     /// The limits on the moves of one round. A moving range is unavailable for about half a heartbeat interval. In a
     /// large pool, these limits keep two of a hundred ranges in transit, and balance servers of three different speeds
     /// within about five seconds.
@@ -95,8 +97,11 @@
             break;
         // The largest range that fits relieves the source with the fewest moves.
         auto const fits = [&](PlacementRange const& range) {
-            return range.owner == source->number
-                && (destination->load + range.load) / destination->capacity <= mean * destinationLimit;
+            auto const utilization = (destination->load + range.load) / destination->capacity;
+            // What exceeds a limit is refused, so any server with room is a better owner.
+            auto const hasRoom = source->isLimited && !destination->isLimited
+                && utilization * serviceSeconds <= maxBusyFraction && utilization < source->utilization();
+            return range.owner == source->number && (utilization <= mean * destinationLimit || hasRoom);
         };
         auto const found = std::ranges::find_if(movable, fits);
         if (found == movable.end() || !mayReceive(*destination) || source == destination)
--- a/Tests/LibFleet/TestRangePlacement.cpp
+++ b/Tests/LibFleet/TestRangePlacement.cpp
@@ -114,3 +114,24 @@
     BOOST_TEST(slow >= 18);
     BOOST_TEST(slow <= 22);
 }
+
+// Load pattern: a few hot keys belong to a server that names a limit. Their ranges exceed what balances the load, but
+// the requests that the server does not take would be refused.
+BOOST_AUTO_TEST_CASE(AHotRangeOfALimitedServerMovesToOneWithRoom)
+{
+    for (auto const isLimited : { false, true }) {
+        for (auto const hasRoom : { false, true }) {
+            auto servers = makeServers(3);
+            servers[0].isLimited = isLimited;
+            servers[0].capacity = 0.8;
+            servers[0].load = 14;
+            std::vector<PlacementRange> const ranges { { 0, servers[0].number, 10 }, { 1, servers[0].number, 4 } };
+            for (std::size_t i = 1; i < servers.size(); ++i) {
+                servers[i].capacity = 4;
+                servers[i].load = 20;
+            }
+            auto const moves = RangePlacement::balance(servers, ranges, hasRoom ? 0.1 : 0.2);
+            BOOST_TEST(std::ranges::count(moves, 0, &PlacementMove::index) == (isLimited && hasRoom ? 1 : 0));
+        }
+    }
+}
