Relieve other servers while a limited one cannot be

Balancing takes ranges from the most utilized server, and stops if none of its ranges can move. A server that names a limit is nearly always the most utilized one, and its ranges have often just moved, so the other servers of the pool were not relieved for as long as the limit lasted. Such a server is left out of the round now. The new test fails without the change (no move, 40 requests a second stay) and passes with it.

--- a/Libraries/LibFleet/RangePlacement.cpp
+++ b/Libraries/LibFleet/RangePlacement.cpp
@@ -85,8 +85,12 @@
     auto const maxMoves
         = std::max(minMovesPerRound, static_cast<std::size_t>(movesPerServer * static_cast<double>(servers.size())));
     std::ranges::sort(movable, std::greater {}, &PlacementRange::load);
+    // Limited servers without a range that could move. They must not keep the other servers from being relieved.
+    std::set<ServerNumber> settled;
+    auto const utilizationAsSource
+        = [&](auto const& server) { return settled.contains(server.number) ? -1.0 : server.utilization(); };
     while (moves.size() < maxMoves && servers.size() > 1) {
-        auto const source = std::ranges::max_element(servers, {}, &PlacementServer::utilization);
+        auto const source = std::ranges::max_element(servers, {}, utilizationAsSource);
         auto const destination = std::ranges::min_element(servers, {}, [](auto const& server) {
             return mayReceive(server) ? server.utilization() : std::numeric_limits<double>::infinity();
         });
@@ -104,6 +108,8 @@
             return range.owner == source->number && (utilization <= mean * destinationLimit || hasRoom);
         };
         auto const found = std::ranges::find_if(movable, fits);
+        if (found == movable.end() && source->isLimited && settled.insert(source->number).second)
+            continue;
         if (found == movable.end() || !mayReceive(*destination) || source == destination)
             break;
         source->load -= found->load;
--- a/Tests/LibFleet/TestRangePlacement.cpp
+++ b/Tests/LibFleet/TestRangePlacement.cpp
@@ -135,3 +135,21 @@
         }
     }
 }
+
+// Load pattern: an owner names a limit, and none of its ranges may move, since they have moved a moment ago. Other
+// servers are still relieved.
+BOOST_AUTO_TEST_CASE(ALimitedServerThatCannotBeRelievedDoesNotHoldUpTheOthers)
+{
+    auto servers = makeServers(4);
+    servers[0].isLimited = true;
+    servers[0].capacity = 0.5;
+    servers[0].load = 20;
+    servers[1].load = 40;
+    servers[2].load = 10;
+    servers[3].load = 10;
+    std::vector<PlacementRange> ranges;
+    for (std::size_t i = 0; i < 20; ++i)
+        ranges.push_back({ i, servers[1].number, 2 });
+    BOOST_TEST(!RangePlacement::balance(servers, ranges, 0.1).empty());
+    BOOST_TEST(servers[1].load < 36);
+}
