--- a/Tests/Processes/test_full_disks.py
+++ b/Tests/Processes/test_full_disks.py
@@ -153,7 +153,7 @@
         upsert = {"Routes": [{"Name": name, "Host": "a.example", "PathPrefix": "/%d/" % self.sent, "Kind": "safe",
                               "TimeoutS": 1.0, "TargetLatencyS": 0.25, "Priority": 1, "Service": "letters",
                               "MaxAttempts": 2, "Version": self.sent}]}
-        if self.sent == 1:
+        if not self.acknowledged:
             upsert["Services"] = [{"Name": "letters", "HealthPath": "/health", "MaxConns": 110, "Protocol": "h1",
                                    "Tls": False, "WarmupS": 3.0, "WarmupPerS": 18.0, "Sharding": True, "WarmS": 2.0,
                                    "Grants": "heartbeat", "Version": 1}]
