--- a/Tests/Processes/test_server_limits.py
+++ b/Tests/Processes/test_server_limits.py
@@ -5,24 +5,12 @@
 The stand-ins for the platform are those of the review.
 """
 
-import argparse
 import asyncio
-import os
-import random
-import shutil
-import signal
 import sys
-import tempfile
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "review", "standin"))
-from standin import Client, Record, Site, Worker  # noqa: E402
+from trial import POOLS, RATE_PER_S, SERVERS, Trial, main, Worker
 
-HOST = "letters.example"
-POOLS = ("keyed", "plain")
-SERVERS = 6
-RATE_PER_S = 120
-DEADLINE_S = 1.5
 # The rule: once and a half of what the limit allows within four seconds, and five requests more. It holds this long after
 # the first naming, for requests through machines that passed on such an answer half a second before.
 WINDOW_S = 4.0
@@ -35,10 +23,6 @@
 RECOVERY_S = 12
 
 
-class Failure(Exception):
-    pass
-
-
 class LimitedServer(Worker):
     """Notes which entry host each request came through, and names a limit while it has one."""
 
@@ -55,7 +39,6 @@
     def header(self):
         return [] if self.limit is None else [("Server-Limit", "%g" % self.limit)]
 
-
     def answer(self, status, attempt, body=b"", headers=()):
         return super().answer(status, attempt, body, list(headers) + self.header())
 
@@ -83,96 +66,28 @@
         return sum(1 for at, _ in self.arrivals if begin <= at < end)
 
 
-class Trial:
-    def __init__(self, daemon, record, seed, entry_hosts):
-        self.random = random.Random(seed)
-        self.site = Site(record, entry_hosts=entry_hosts)
-        for role in self.site.roles:
-            self.site.roles[role]["run"] = "%s --platform-role %s" % (os.path.abspath(daemon), role)
-        self.site.entry_of = {}
-        self.record = record
-        # When each entry host passed on the first answer of a server with a limit, and when it was disturbed.
-        self.told = {}
-        self.disturbed = {entry.name: [] for entry in self.site.entry}
-        self.outcomes = []
-        self.limited = []
-        self.tasks = set()
+class LimitTrial(Trial):
+    server_type = LimitedServer
 
-    async def start(self):
-        await self.site.start()
-        route = {"Host": HOST, "Kind": "safe", "TimeoutS": DEADLINE_S, "TargetLatencyS": 0.5, "Priority": 1,
-                 "MaxAttempts": 2}
-        service = {"HealthPath": "/health", "MaxConns": 110, "Protocol": "h1", "Tls": False, "WarmupS": 0.0,
-                   "WarmupPerS": 18.0}
-        await self.site.configure({
-            "Routes": [dict(route, Name="r-" + pool, PathPrefix="/%s/" % pool, Service=pool) for pool in POOLS],
-            "Services": [dict(service, Name="keyed", Sharding=True, WarmS=2.0, Grants="heartbeat"),
-                         dict(service, Name="plain")],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutS": 3, "IdleTimeoutS": 15}})
-        for pool in POOLS:
-            servers = [LimitedServer(self.site, pool, self.site.zones[i % 3], is_sharded=pool == "keyed")
-                       for i in range(SERVERS)]
-            for server in servers:
-                await server.start()
-            self.limited.append(servers[0])
-        await self.site.wait_ready()
-        await asyncio.sleep(5)
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        # When each entry host passed on the first answer of a server with a limit.
+        self.told = {}
 
-    async def request(self, client, pool):
-        attempt = "%016x" % self.random.getrandbits(64)
-        self.site.entry_of[attempt] = client.entry.name
-        sent = time.monotonic()
-        headers = [("X-Shard-Key", self.random.randrange(65536))]
-        _, status, answer, _ = await client.send("GET", HOST, "/%s/x" % pool, DEADLINE_S, headers, b"", attempt)
-        self.outcomes.append((sent, pool, status))
-        if "server-limit" in answer:
-            self.told.setdefault((pool, client.entry.name), time.monotonic())
+    def on_answer(self, pool, entry, headers):
+        if "server-limit" in headers:
+            self.told.setdefault((pool, entry), time.monotonic())
 
-    async def traffic(self, pool):
-        clients = [Client(self.site, entry) for entry in self.site.entry]
-        while True:
-            client = self.random.choice(clients)
-            if client.entry.is_running():
-                task = asyncio.ensure_future(self.request(client, pool))
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
-            await asyncio.sleep(self.random.expovariate(RATE_PER_S))
+    @property
+    def limited(self):
+        return [self.servers[pool][0] for pool in POOLS]
 
     def set_limit(self, limit):
         self.record.say("limit %s" % limit)
         for server in self.limited:
             server.set_limit(limit)
 
-    async def kill_leader(self):
-        leader = await self.site.find_leader()
-        if leader is None:
-            raise Failure("no leader")
-        self.record.say("the leader %s is killed" % leader.name)
-        leader.kill()
-        await leader.process.wait()
-        await asyncio.sleep(2)
-        await leader.start(bootstrap=False)
-
-    async def restart_entry(self):
-        entry = self.random.choice(self.site.entry)
-        self.record.say("%s is killed and started" % entry.name)
-        self.disturbed[entry.name].append(time.monotonic())
-        entry.kill()
-        await entry.process.wait()
-        await entry.start(bootstrap=False)
-
-    async def freeze_entry(self):
-        entry = self.random.choice(self.site.entry)
-        self.record.say("%s is frozen for 1.5 s" % entry.name)
-        self.disturbed[entry.name].append(time.monotonic())
-        entry.process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(1.5)
-        entry.process.send_signal(signal.SIGCONT)
-        self.disturbed[entry.name].append(time.monotonic())
-
-    async def run(self):
-        loads = [asyncio.ensure_future(self.traffic(pool)) for pool in POOLS]
-        await asyncio.sleep(3)
+    async def play(self):
         self.set_limit(5.4)
         await asyncio.sleep(8)
         await self.kill_leader()
@@ -188,9 +103,6 @@
         await asyncio.sleep(5)
         self.set_limit(None)
         await asyncio.sleep(RECOVERY_S)
-        for load in loads:
-            load.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
 
     def is_counted(self, pool, entry, at):
         """Whether the rule counts a request from this entry host."""
@@ -223,40 +135,12 @@
             if after < RATE_PER_S / SERVERS / (3 if pool == "keyed" else 10):
                 broken.append("%s: only %.1f requests a second after the end of the limit" % (pool, after))
             # The others have room for all requests; calm is from 3 s after the naming until the loss of the leader.
-            calm = [status for sent, where, status in self.outcomes if where == pool and begin <= sent < begin + 4]
-            served = sum(1 for status in calm if status == 200) / max(len(calm), 1)
-            self.record.say("%s: %d of %d served in calm" % (pool, served * len(calm), len(calm)))
+            sent, served = self.served(pool, begin, begin + 4)
+            self.record.say("%s: %d of %d served in calm" % (pool, served, sent))
+            served /= max(sent, 1)
             if served < 0.9:
                 broken.append("%s: %.0f %% served although the other servers have room" % (pool, 100 * served))
         return broken
 
 
-async def run(daemon, record, seed, entry_hosts):
-    trial = Trial(daemon, record, seed, entry_hosts)
-    try:
-        await trial.start()
-        await trial.run()
-        return trial.check()
-    finally:
-        await trial.site.stop()
-
-
-def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("daemon")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--entry-hosts", type=int, default=8)
-    arguments = parser.parse_args()
-    folder = tempfile.mkdtemp(prefix="primroseshift-")
-    record = Record(folder)
-    try:
-        broken = asyncio.run(run(arguments.daemon, record, arguments.seed, arguments.entry_hosts))
-    finally:
-        record.close()
-        shutil.rmtree(folder, ignore_errors=True)
-    for line in broken:
-        print("seed %d: BROKEN %s" % (arguments.seed, line))
-    return 1 if broken else 0
-
-
-sys.exit(main())
+sys.exit(main(LimitTrial))
