Send no requests to backend servers that say they leave

What callers saw: requests reached servers that had said in answers, passed on by the same entry host, that they leave. Cause: no code read the header; only heartbeats could drain a server. Change: the entry host that got such an answer sends that server process no request from then on, and an owner of keys none after a grace below DrainS. Neither later views nor answers without the header take it back. The leader learns it with the load report, commits the drain, and moves the keys.

--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -336,6 +336,10 @@
                 { { "server", server->name.value }, { "pool", server->pool.value },
                     { "address", server->address.toString() }, { "domain", server->domain.value } });
     }
+    for (auto const number : applied.changedServers) {
+        if (auto const* const server = replica_.state().findServer(number))
+            events_.write(EventId::DrainStarted, { { "server", server->name.value }, { "pool", server->pool.value } });
+    }
     for (auto const& name : applied.removedNames)
         events_.write(EventId::BackendLeft, { { "server", name.value } });
     for (auto const& assignment : applied.assignments) {
--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -398,6 +398,11 @@
         if (state_.findServer(row.server))
             limits_.update(row.server, toStatement(row, now), now);
     }
+    for (auto const number : report.leaving) {
+        auto const* const known = state_.findServer(number);
+        if (known && !known->isDraining && !std::exchange(servers_[number].isDrainProposed, true))
+            pending_.servers.draining.push_back(number);
+    }
     for (auto const& suspicion : report.suspicions)
         suspicions_[suspicion.server].push_back({ suspicion.fingerprint, now });
 }
@@ -455,7 +460,8 @@
 
 std::optional<Command> Coordinator::takeCommand()
 {
-    auto const isEmpty = pending_.assignments.empty() && pending_.splits.empty() && pending_.servers.removed.empty();
+    auto const isEmpty = pending_.assignments.empty() && pending_.splits.empty() && pending_.servers.removed.empty()
+        && pending_.servers.draining.empty();
     if (isEmpty)
         return std::nullopt;
     return std::exchange(pending_, {});
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -93,17 +93,22 @@
     std::vector<Occupancy> occupancies;
     /// The limits of the servers whose answers said something about them since the last report.
     std::vector<RequestLimitRow> requestLimits;
+    /// The servers that said in an answer that they leave.
+    std::vector<ServerNumber> leaving;
 
-    bool isEmpty() const { return arrivals.empty() && contacts.empty() && suspicions.empty() && requestLimits.empty(); }
+    bool isEmpty() const
+    {
+        return arrivals.empty() && contacts.empty() && suspicions.empty() && requestLimits.empty() && leaving.empty();
+    }
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Arrivals, pool, keys)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Latency, server, answers, sumMs)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Suspicion, fingerprint, server)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Contact, server, answers, refusals)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Occupancy, server, reports, requests)
-// An entry host of an earlier version sends no occupancies or request limits.
+// An entry host of an earlier version sends no occupancies, request limits or leaving servers.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    LoadReport, arrivals, contacts, latencies, suspicions, occupancies, requestLimits)
+    LoadReport, arrivals, contacts, latencies, suspicions, occupancies, requestLimits, leaving)
 
 /// The owner to which entry hosts send requests for a key range. While there is no owner, they queue or reject
 /// requests.
@@ -169,6 +174,8 @@
         /// The number of recent answers that `meanMs` is averaged over.
         double answers { 0 };
         bool hasHeartbeat { false };
+        /// Whether a command that marks the server as draining awaits its commit.
+        bool isDrainProposed { false };
         /// The number of refused connections since the last heartbeat or answer of the server. `refusedSince` is when
         /// the first of them was reported.
         std::uint32_t refusals { 0 };
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -170,7 +170,7 @@
         gateway_.countArrival(pool_, *metadata_.key);
     auto const* const owner = gateway_.view_.findOwner(pool_, *metadata_.key);
     auto const* const server = owner ? gateway_.view_.findServer(owner->server) : nullptr;
-    if (!server || !gateway_.view_.mayServeKeys(*server, gateway_.loop_.now())) {
+    if (!server || !gateway_.mayServeKeys(*server)) {
         auto const expectedAt = owner ? owner->expectedAt : gateway_.loop_.now() + defaultRetryAfter;
         waitForOwner(expectedAt, expectedAt + ownerGrace);
         return;
@@ -293,7 +293,7 @@
     std::vector<Fleet::ViewServer const*> servers;
     std::vector<ServerCandidate> candidates;
     for (auto const& [number, server] : gateway_.view_.servers()) {
-        if (server.record.pool != pool_ || !gateway_.view_.mayServe(server.record))
+        if (server.record.pool != pool_ || !gateway_.mayServe(server.record))
             continue;
         auto const& load = gateway_.loadOf(server.record);
         if (load.isUnreachable(now) || triedServers_.contains(number))
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -181,6 +181,25 @@
 
 void Gateway::onBackpressure(
     Fleet::ServerRecord const& server, BackpressureSignals const& signals, Core::TimePoint sentAt)
+{
+    onLimitSignals(server, signals, sentAt);
+    onLeavingSignals(server, signals);
+}
+
+void Gateway::onLeavingSignals(Fleet::ServerRecord const& server, BackpressureSignals const& signals)
+{
+    std::initializer_list<Telemetry::Field> const fields {
+        { "server", server.name.value },
+        { "pool", server.pool.value },
+    };
+    if (signals.isLeaving && backpressures_[server.number].onLeaving(loop_.now()))
+        events_.write(Telemetry::EventId::ServerLeaving, fields);
+    if (signals.isLeavingUnreadable && backpressures_[server.number].isFirstUnreadableLeaving())
+        events_.write(Telemetry::EventId::ServerLeavingUnreadable, fields);
+}
+
+void Gateway::onLimitSignals(
+    Fleet::ServerRecord const& server, BackpressureSignals const& signals, Core::TimePoint sentAt)
 {
     auto const isKnown = backpressures_.contains(server.number);
     if (!isKnown && !signals.requestLimit && !signals.isLimitUnreadable)
@@ -204,14 +223,36 @@
     }
     if (!update.isWhole)
         return;
-    for (auto& [number, backpressure] : backpressures_)
+    for (auto& [number, backpressure] : backpressures_) {
         backpressure.repeatReport();
+        backpressure.repeatLeavingReport();
+    }
 }
 
-ServerBackpressure* Gateway::limitedServer(Fleet::ServerNumber server)
+ServerBackpressure* Gateway::backpressureOf(Fleet::ServerNumber server)
 {
     auto const found = backpressures_.find(server);
-    return found == backpressures_.end() || !found->second.requestLimit() ? nullptr : &found->second;
+    return found == backpressures_.end() ? nullptr : &found->second;
+}
+
+ServerBackpressure* Gateway::limitedServer(Fleet::ServerNumber server)
+{
+    auto* const backpressure = backpressureOf(server);
+    return backpressure && backpressure->requestLimit() ? backpressure : nullptr;
+}
+
+bool Gateway::mayServe(Fleet::ServerRecord const& server)
+{
+    auto const* const backpressure = backpressureOf(server.number);
+    return view_.mayServe(server) && !(backpressure && backpressure->isLeaving());
+}
+
+bool Gateway::mayServeKeys(Fleet::ViewServer const& server)
+{
+    auto const now = loop_.now();
+    auto const* const backpressure = backpressureOf(server.record.number);
+    return view_.mayServeKeys(server, now)
+        && !(backpressure && backpressure->hasBeenLeavingFor(settings_.leavingGrace, now));
 }
 
 std::size_t Gateway::connectionLimit(Fleet::PoolItem const& pool) const
@@ -255,6 +296,8 @@
     for (auto& [number, backpressure] : backpressures_) {
         if (backpressure.takeReportDue())
             report.requestLimits.push_back(Fleet::toRow(number, backpressure.newestStatement(), loop_.now()));
+        if (backpressure.takeLeavingReportDue())
+            report.leaving.push_back(number);
     }
     if (suspicions_.size() > maxSuspicions)
         suspicions_.resize(maxSuspicions);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -26,6 +26,8 @@
     double warmupFactor { 1.5 };
     double warmupSlack { 5 };
     Core::FailureDomain failureDomain;
+    /// The time for which an owner of keys still gets requests after it has said in an answer that it leaves.
+    Core::Duration leavingGrace { std::chrono::milliseconds(1500) };
     /// Bandwidth of this host's network link in each direction, in bytes a second; zero if it is not a bottleneck.
     double linkBytesPerSecond { 0 };
 };
@@ -77,7 +79,15 @@
     bool tryAcquireColdSend(Fleet::ViewServer const&, Fleet::PoolItem const&);
     /// Records what an answer to a request that was sent at this time asks of callers.
     void onBackpressure(Fleet::ServerRecord const&, BackpressureSignals const&, Core::TimePoint sentAt);
+    void onLimitSignals(Fleet::ServerRecord const&, BackpressureSignals const&, Core::TimePoint sentAt);
+    void onLeavingSignals(Fleet::ServerRecord const&, BackpressureSignals const&);
     void applyRequestLimits(Fleet::ViewUpdate const&);
+    /// Returns what a server has asked for since it joined; null if nothing.
+    ServerBackpressure* backpressureOf(Fleet::ServerNumber);
+    /// Whether a server of a pool without keys may get requests.
+    bool mayServe(Fleet::ServerRecord const&);
+    /// Whether a server may get requests for the keys that it owns.
+    bool mayServeKeys(Fleet::ViewServer const&);
     /// Returns what a server that names a limit has asked for; null for other servers.
     ServerBackpressure* limitedServer(Fleet::ServerNumber);
     /// The share of this entry host in a limit of the server that holds for all entry hosts together.
--- a/Libraries/LibGateway/RequestCodec.h
+++ b/Libraries/LibGateway/RequestCodec.h
@@ -25,12 +25,15 @@
     double slowness { 1 };
 };
 
-/// What a backend server asks of its callers, for as long as its answers say so.
+/// What a backend server asks of its callers in an answer.
 struct BackpressureSignals {
     /// The requests per second that the server takes from all entry hosts together. Empty if it names no limit.
     std::optional<double> requestLimit;
     /// Whether the answer has a limit that cannot be read. Such an answer neither sets nor ends a limit.
     bool isLimitUnreadable { false };
+    /// Whether the server is about to end and takes no further requests.
+    bool isLeaving { false };
+    bool isLeavingUnreadable { false };
 };
 
 /// The metadata that a backend server sends with an answer.
--- a/Libraries/LibGateway/ServerBackpressure.cpp
+++ b/Libraries/LibGateway/ServerBackpressure.cpp
@@ -26,6 +26,20 @@
     isReportDue_ = isReportDue_ || hadLimit || limit_.perSecond();
 }
 
+bool ServerBackpressure::onLeaving(Core::TimePoint now)
+{
+    if (leavingSince_)
+        return false;
+    leavingSince_ = now;
+    isLeavingReportDue_ = true;
+    return true;
+}
+
+bool ServerBackpressure::hasBeenLeavingFor(Core::Duration time, Core::TimePoint now) const
+{
+    return leavingSince_ && now - *leavingSince_ >= time;
+}
+
 std::optional<Core::Duration> ServerBackpressure::refusedFor(Core::TimePoint now, Core::Duration patience) const
 {
     if (now >= refusedUntil_ || patience > refusedPatience_)
--- a/Libraries/LibGateway/ServerBackpressure.h
+++ b/Libraries/LibGateway/ServerBackpressure.h
@@ -34,6 +34,19 @@
     /// Returns true for the first unreadable limit of the server.
     bool isFirstUnreadable() { return !std::exchange(hasUnreadable_, true); }
 
+    /// Records that an answer says that the server leaves. It is not taken back by anything: the same server process
+    /// cannot return. Returns whether this is the first such answer.
+    bool onLeaving(Core::TimePoint now);
+    /// Returns true for the first unreadable statement of the server about leaving.
+    bool isFirstUnreadableLeaving() { return !std::exchange(hasUnreadableLeaving_, true); }
+    bool isLeaving() const { return leavingSince_.has_value(); }
+    /// Whether the server said at least this long ago that it leaves.
+    bool hasBeenLeavingFor(Core::Duration, Core::TimePoint now) const;
+    /// Whether the control leader has to be told that the server leaves.
+    bool takeLeavingReportDue() { return std::exchange(isLeavingReportDue_, false); }
+    /// Reports a leaving server again, since the leader that was told may be lost.
+    void repeatLeavingReport() { isLeavingReportDue_ = isLeaving(); }
+
     /// Whether a reservation with this patience would be refused, as far as an earlier refusal shows. Returns the time
     /// until the next request could be sent.
     std::optional<Core::Duration> refusedFor(Core::TimePoint now, Core::Duration patience) const;
@@ -59,6 +72,9 @@
     SendShareLimiter shares_ { shareWindow };
     bool isReportDue_ { false };
     bool hasUnreadable_ { false };
+    std::optional<Core::TimePoint> leavingSince_;
+    bool isLeavingReportDue_ { false };
+    bool hasUnreadableLeaving_ { false };
     /// Until when, and up to which patience, the leader has refused reservations.
     Core::TimePoint refusedUntil_;
     Core::Duration refusedPatience_ {};
--- a/Libraries/LibTelemetry/Event.cpp
+++ b/Libraries/LibTelemetry/Event.cpp
@@ -71,6 +71,8 @@
         PRIMROSESHIFT_EVENT(AnswerCutOff, Warning, "A caller's connection was closed before its whole answer was sent.", "Look at the host's link; the caller has no complete answer."),
         PRIMROSESHIFT_EVENT(AdmissionRefused, Info, "A request was refused because its server was expected to answer too late.", "Compare the estimates with the service times of the server."),
         PRIMROSESHIFT_EVENT(RequestLimitUnreadable, Warning, "A backend server names a request limit that is not a number; it is ignored.", "Correct the server. Logged once for each server."),
+        PRIMROSESHIFT_EVENT(ServerLeaving, Info, "A backend server says in an answer that it leaves; it gets no further requests.", "None. Logged once for each server."),
+        PRIMROSESHIFT_EVENT(ServerLeavingUnreadable, Warning, "A backend server says something unreadable about leaving; it is ignored.", "Correct the server. Logged once for each server."),
         PRIMROSESHIFT_EVENT(DispatcherAppointed, Info, "This host dispatches a group of backend servers.", "None."),
         PRIMROSESHIFT_EVENT(DispatcherDismissed, Info, "This host no longer dispatches a group.", "None."),
         PRIMROSESHIFT_EVENT(QueueFull, Warning, "A dispatch queue is full; work is rejected as overloaded.", "Add backend servers to the pool."),
--- a/Libraries/LibTelemetry/Event.h
+++ b/Libraries/LibTelemetry/Event.h
@@ -71,6 +71,8 @@
     AnswerCutOff = 410,
     AdmissionRefused = 411,
     RequestLimitUnreadable = 412,
+    ServerLeaving = 413,
+    ServerLeavingUnreadable = 414,
     // Dispatch: 500 to 599.
     DispatcherAppointed = 500,
     DispatcherDismissed = 501,
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -168,6 +168,39 @@
     BOOST_TEST(moved->fence > oldFence);
 }
 
+// DRAIN of issue 42: only heartbeats could say that a server leaves.
+BOOST_AUTO_TEST_CASE(KeysOfAServerThatEntryHostsReportAsLeavingMove)
+{
+    Leader leader;
+    Server a(makeServer(1));
+    Server b(makeServer(2));
+    run(leader, { &a, &b }, 4);
+    auto const number = leader.state().findServer(a.record.name)->number;
+    LoadReport report;
+    report.leaving = { number };
+    // Several entry hosts notice it.
+    leader.coordinator().onLoadReport(leader.now(), report);
+    leader.coordinator().onLoadReport(leader.now(), report);
+    leader.advance(100ms);
+    BOOST_TEST(leader.state().findServer(number)->isDraining);
+    // Its heartbeats still say that it is ready.
+    run(leader, { &a, &b }, 2);
+    BOOST_TEST(a.holds.empty());
+    BOOST_TEST(heldKeyCount(b) == keyCount);
+    // The next leader knows it from the replicated state.
+    leader.restart();
+    run(leader, { &a, &b }, 8);
+    BOOST_TEST(a.holds.empty());
+    // A new process of the same server is another one.
+    Server restarted(makeServer(1, 2000));
+    run(leader, { &restarted, &b }, 12);
+    BOOST_TEST(heldKeyCount(restarted) > 0);
+    report.leaving = { number, 999 };
+    leader.coordinator().onLoadReport(leader.now(), report);
+    leader.advance(100ms);
+    BOOST_TEST(!leader.state().findServer(restarted.record.name)->isDraining);
+}
+
 BOOST_AUTO_TEST_CASE(KeysOfASilentServerAreNotMovedBeforeItsLeaseExpires)
 {
     Leader leader;
--- a/Tests/LibGateway/FakeServers.cpp
+++ b/Tests/LibGateway/FakeServers.cpp
@@ -22,6 +22,8 @@
     if (auto const limit = head.find("Limit"))
         metadata.backpressure
             = { *limit == "many" ? std::nullopt : std::optional(std::stod(std::string(*limit))), *limit == "many" };
+    metadata.backpressure.isLeaving = head.find("Leaving") == "yes";
+    metadata.backpressure.isLeavingUnreadable = head.find("Leaving") == "maybe";
     return metadata;
 }
 
--- a/Tests/LibGateway/TestLimitedServers.cpp
+++ b/Tests/LibGateway/TestLimitedServers.cpp
@@ -1,19 +1,9 @@
-#include "../Support/TemporaryFolder.h"
-#include "FakeServers.h"
-
-#include <LibGateway/Gateway.h>
-
-#include <boost/test/unit_test.hpp>
-
-#include <fstream>
+#include "GatewayFixture.h"
 
 using namespace TestGateway;
 
 namespace {
 
-Core::PoolName const keyed { "keyed" };
-Core::PoolName const unkeyed { "unkeyed" };
-
 /// A control leader that answers each reservation request as the test says.
 class FakeReservations final : public Gateway::ReservationTransport {
 public:
@@ -45,51 +35,21 @@
     Gateway::Gateway& gateway_;
 };
 
-/// An entry host with a key-divided pool of one server, which names a limit, and a pool without keys of two servers.
-struct Fixture {
-    Fixture()
-        : events(Telemetry::EventLog::open({ .file = folder.file("event.log") }, clock).value())
-        , owner(loop, answering("200 OK", "done", "Limit: 5\r\n"))
+/// A key-divided pool of one server, which names a limit, and a pool without keys of two servers.
+struct LimitFixture : GatewayFixture {
+    LimitFixture()
+        : owner(loop, answering("200 OK", "done", "Limit: 5\r\n"))
         , limited(loop, answering("200 OK", "limited", "Limit: 0\r\n"))
         , unlimited(loop, answering("200 OK", "unlimited"))
-        , gateway(loop, *events, metrics, codec, settings())
         , leader(loop, gateway)
     {
         gateway.setReservationTransport(leader);
-        address = { "127.0.0.1", freePort() };
-        BOOST_REQUIRE(gateway.listen(address));
-        Fleet::ViewUpdate update;
-        for (auto const& item : { route("safe", "/safe/", Fleet::RequestKind::Safe, keyed),
-                 route("unsafe", "/unsafe/", Fleet::RequestKind::Unsafe, keyed),
-                 route("any", "/any/", Fleet::RequestKind::Unsafe, unkeyed) })
-            update.routes.push_back({ item.name.value, { item.version, item } });
-        update.pools = { { keyed.value, { 1, pool(keyed, true) } }, { unkeyed.value, { 1, pool(unkeyed, false) } } };
+        auto update = routesAndPools();
         update.servers = { server(1, owner, keyed), server(2, limited, unkeyed), server(3, unlimited, unkeyed) };
         update.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 1, 0 });
-        update.entryHosts = { "entry", "other" };
         gateway.apply(update);
     }
 
-    static Gateway::GatewaySettings settings()
-    {
-        Gateway::GatewaySettings result;
-        result.name = "entry";
-        result.retries = { 0.2, 200, 10s };
-        return result;
-    }
-
-    std::unique_ptr<Caller> connect(std::string const& path, std::string const& id)
-    {
-        auto caller = std::make_unique<Caller>(loop, address);
-        caller->send(request(path, id));
-        return caller;
-    }
-    std::unique_ptr<Caller> ask(std::string const& path, std::string const& id)
-    {
-        auto caller = connect(path, id);
-        caller->waitForAnswer();
-        return caller;
-    }
     bool waitForRequests(std::size_t count)
     {
         return runUntil(loop, [&] { return leader.requests.size() == count; });
@@ -105,29 +65,15 @@
         }
         gateway.apply(update);
     }
-    std::string logText() const
-    {
-        std::ifstream file(folder.file("event.log"));
-        return { std::istreambuf_iterator<char>(file), {} };
-    }
-
-    Net::EventLoop loop;
-    Core::SystemClock clock;
-    TemporaryFolder folder;
-    std::unique_ptr<Telemetry::EventLog> events;
-    Telemetry::Metrics metrics;
-    TestCodec codec;
     FakeServer owner;
     FakeServer limited;
     FakeServer unlimited;
-    Gateway::Gateway gateway;
     FakeReservations leader;
-    Core::Endpoint address;
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(LimitedServers, Fixture)
+BOOST_FIXTURE_TEST_SUITE(LimitedServers, LimitFixture)
 
 BOOST_AUTO_TEST_CASE(ARequestForALimitedOwnerIsSentOnceItIsReserved)
 {
@@ -176,8 +122,7 @@
     BOOST_TEST(owner.requests().size() == 1);
     // The second one was refused without another message.
     BOOST_TEST(leader.requests.size() == 1);
-    events.reset();
-    BOOST_TEST(logText().find("owner-limited") != std::string::npos);
+    BOOST_TEST(closeLog().find("owner-limited") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesBeforeItsReservationIsNotSent)
@@ -256,8 +201,7 @@
         BOOST_TEST(ask("/safe/x", id)->status() == "200");
     BOOST_TEST(leader.requests.size() == 2);
     BOOST_TEST(metrics.exposition().find("unreadable_limits_total{pool=\"keyed\"} 2") != std::string::npos);
-    events.reset();
-    auto const log = logText();
+    auto const log = closeLog();
     auto const first = log.find("RequestLimitUnreadable");
     BOOST_REQUIRE(first != std::string::npos);
     BOOST_TEST(log.find("RequestLimitUnreadable", first + 1) == std::string::npos);
@@ -293,8 +237,7 @@
         status = ask("/any/x", std::to_string(i))->status();
     BOOST_TEST(status == "503");
     BOOST_TEST(limited.requests().size() + unlimited.requests().size() <= 6);
-    events.reset();
-    BOOST_TEST(logText().find("servers-limited") != std::string::npos);
+    BOOST_TEST(closeLog().find("servers-limited") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Platform/TestWire.cpp
+++ b/Tests/Platform/TestWire.cpp
@@ -307,3 +307,24 @@
     BOOST_TEST(!headers.readAnswer(head).backpressure.requestLimit.has_value());
     BOOST_TEST(headers.readAnswer(head).backpressure.isLimitUnreadable);
 }
+
+BOOST_AUTO_TEST_CASE(OnlyOneValueSaysThatAServerLeaves)
+{
+    WireHeaders const headers;
+    Proxy::MessageHead head;
+    BOOST_TEST(!headers.readAnswer(head).backpressure.isLeaving);
+    BOOST_TEST(!headers.readAnswer(head).backpressure.isLeavingUnreadable);
+    for (auto const& fields : { std::vector<Proxy::HeaderField> { { "server-leaving", "1" } },
+             { { "Server-Leaving", "1" }, { "Server-Leaving", "1" } },
+             { { "Server-Leaving", "no" }, { "Server-Leaving", "1" } } }) {
+        head.fields = fields;
+        BOOST_TEST(headers.readAnswer(head).backpressure.isLeaving);
+        BOOST_TEST(!headers.readAnswer(head).backpressure.isLeavingUnreadable);
+    }
+    for (auto const& text : { std::string(), std::string("0"), std::string("true"), std::string("1e400"),
+             std::string("1.0"), std::string("-1"), std::string("11"), std::string(60, '1') }) {
+        head.fields = { { "Server-Leaving", text } };
+        BOOST_TEST(!headers.readAnswer(head).backpressure.isLeaving, text);
+        BOOST_TEST(headers.readAnswer(head).backpressure.isLeavingUnreadable, text);
+    }
+}
