Send no requests to backend servers that asked for silence

Cause: no code read Retry-After of servers. An owner of keys got even the rejected request a second time after 40 ms. Change: the entry host sends that server process nothing until the end of the time, takes back what it has not begun to send, and refuses at once, with a Retry-After after the server's, what no other server can run.

--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -31,6 +31,10 @@
     /// Longest wait for a send to a server that names a limit.
     constexpr Core::Duration maxReservedWait = std::chrono::milliseconds(500);
 
+    /// The time over which callers return after a server's time of silence, which is half of it within these limits.
+    constexpr Core::Duration minSilenceSpread = std::chrono::milliseconds(250);
+    constexpr Core::Duration maxSilenceSpread = std::chrono::seconds(2);
+
     std::int32_t priorityStep(std::int32_t priority) { return std::clamp(priority, 0, maxPriorityStep); }
 
     /// The longest queueing delay plus service time that a queued request may have.
@@ -56,6 +60,12 @@
     return std::chrono::duration_cast<Core::Duration>(meanOverloadRetryAfter * (0.5 + jitter));
 }
 
+Core::Duration Admission::silenceRetryAfter(Core::Duration left, double jitter)
+{
+    auto const spread = std::clamp(left / 2, minSilenceSpread, maxSilenceSpread);
+    return left + std::chrono::duration_cast<Core::Duration>(spread * jitter);
+}
+
 Core::Duration Admission::maxReservationWait(AdmissionQuery const& query, ServerLoad const& server)
 {
     auto const service = std::chrono::duration_cast<Core::Duration>(server.serviceTime() * minServiceTimeFraction);
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -50,6 +50,10 @@
     /// meanwhile.
     static Core::Duration overloadRetryAfter(double jitter);
 
+    /// The Retry-After time for a server that wants no requests for a time: not before its end, and spread over a while
+    /// after it.
+    static Core::Duration silenceRetryAfter(Core::Duration left, double jitter);
+
     /// The longest time that a request may wait until it is sent to a server that names a limit, so that it is still
     /// answered in time. Less urgent requests may wait less, so that they are refused first.
     static Core::Duration maxReservationWait(AdmissionQuery const&, ServerLoad const&);
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -183,6 +183,10 @@
         refuse("refused-by-server", defaultRetryAfter);
         return;
     }
+    if (auto const left = gateway_.silenceLeft(server->record.number); left > Core::Duration::zero()) {
+        refuseForSilence("owner-silent", left);
+        return;
+    }
     // Admission is sampled once for each request; a retry is not subject to it again.
     if (isFirstDispatch && !Admission::isAdmitted(owner->admittedFraction, priority_, gateway_.random_.unit())) {
         refuse("owner-overloaded", Admission::overloadRetryAfter(gateway_.random_.unit()));
@@ -292,12 +296,17 @@
     auto const now = gateway_.loop_.now();
     std::vector<Fleet::ViewServer const*> servers;
     std::vector<ServerCandidate> candidates;
+    std::optional<Core::Duration> shortestSilence;
     for (auto const& [number, server] : gateway_.view_.servers()) {
         if (server.record.pool != pool_ || !gateway_.mayServe(server.record))
             continue;
         auto const& load = gateway_.loadOf(server.record);
         if (load.isUnreachable(now) || triedServers_.contains(number))
             continue;
+        if (auto const left = gateway_.silenceLeft(number); left > Core::Duration::zero()) {
+            shortestSilence = std::min(shortestSilence.value_or(left), left);
+            continue;
+        }
         auto const* const limited = gateway_.limitedServer(number);
         servers.push_back(&server);
         candidates.push_back(
@@ -328,12 +337,19 @@
     }
     if (mayHaveRun_)
         fail(statusBadGateway, "no-other-server");
+    else if (servers.empty() && shortestSilence)
+        refuseForSilence("servers-silent", *shortestSilence);
     else if (isLimited && !refusal)
         refuse("servers-limited", Admission::overloadRetryAfter(gateway_.random_.unit()));
     else
         refuse("no-server", refusal ? refusal->retryAfter : defaultRetryAfter);
 }
 
+void Exchange::refuseForSilence(std::string_view reason, Core::Duration left)
+{
+    refuse(reason, Admission::silenceRetryAfter(left, gateway_.random_.unit()));
+}
+
 /// Logs the estimates behind a refusal, so that a wrong estimate shows beside the measured times of other requests.
 void Exchange::logAdmission(Fleet::ViewServer const& server, Refusal const& refusal)
 {
@@ -392,6 +408,17 @@
     });
 }
 
+void Exchange::onServerSilent(Fleet::ServerNumber number)
+{
+    if (!connection_ || server_ != number || ServerConnections::hasBegunToSend(*connection_))
+        return;
+    if (auto const* const server = gateway_.view_.findServer(number))
+        gateway_.loadOf(server->record).onDone();
+    gateway_.serverConnections_.abandon(std::exchange(connection_, nullptr));
+    --sends_;
+    dispatch();
+}
+
 void Exchange::onViewChanged()
 {
     if (!isWaiting_)
@@ -454,6 +481,10 @@
             refuse("refused-by-server", defaultRetryAfter);
         return;
     }
+    if (auto const left = gateway_.silenceLeft(server_); left > Core::Duration::zero()) {
+        refuseForSilence("owner-silent", left);
+        return;
+    }
     // The same owner would refuse the request again, so it is retried only after the view names another owner.
     if (isMisdirected) {
         waitForOwner(gateway_.loop_.now(), gateway_.loop_.now() + misdirectedWait);
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -22,6 +22,8 @@
     void onViewChanged();
     /// Limits the deadline of the request to this time. Refuses a request whose awaited owner is expected after it.
     void limitDeadline(Core::TimePoint);
+    /// Takes back the request if it waits to be sent to this server, which wants no requests now.
+    void onServerSilent(Fleet::ServerNumber);
     /// Logs that the request is unfinished, and whether it waits for a server or for an owner.
     void logUnfinished() const;
 
@@ -45,6 +47,7 @@
     void useReservation(Fleet::ServerNumber, Core::TimePoint reservedFor);
     /// `wait` is the time until the server may get the next request.
     void refuseForLimit(ServerBackpressure const&, Core::Duration wait);
+    void refuseForSilence(std::string_view reason, Core::Duration left);
     void logAdmission(Fleet::ViewServer const&, Refusal const&);
     /// Waits for a change of owner until `latest`, then refuses. Refuses immediately if the owner is expected after the
     /// deadline.
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -184,6 +184,7 @@
 {
     onLimitSignals(server, signals, sentAt);
     onLeavingSignals(server, signals);
+    onSilenceSignals(server, signals);
 }
 
 void Gateway::onLeavingSignals(Fleet::ServerRecord const& server, BackpressureSignals const& signals)
@@ -198,6 +199,30 @@
         events_.write(Telemetry::EventId::ServerLeavingUnreadable, fields);
 }
 
+void Gateway::onSilenceSignals(Fleet::ServerRecord const& server, BackpressureSignals const& signals)
+{
+    std::initializer_list<Telemetry::Field> const fields {
+        { "server", server.name.value },
+        { "pool", server.pool.value },
+        { "seconds", std::chrono::duration<double>(signals.silence.value_or(Core::Duration::zero())).count() },
+    };
+    if (signals.isSilenceUnreadable && backpressures_[server.number].isFirstUnreadableSilence())
+        events_.write(Telemetry::EventId::ServerSilenceUnreadable, fields);
+    if (!signals.silence)
+        return;
+    metrics_.countSilence(server.pool);
+    if (!backpressures_[server.number].onSilence(loop_.now(), *signals.silence))
+        return;
+    events_.write(Telemetry::EventId::ServerSilent, fields);
+    forEachExchange([&](Exchange& exchange) { exchange.onServerSilent(server.number); });
+}
+
+Core::Duration Gateway::silenceLeft(Fleet::ServerNumber server)
+{
+    auto const* const backpressure = backpressureOf(server);
+    return backpressure ? backpressure->silenceLeft(loop_.now()) : Core::Duration::zero();
+}
+
 void Gateway::onLimitSignals(
     Fleet::ServerRecord const& server, BackpressureSignals const& signals, Core::TimePoint sentAt)
 {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -81,6 +81,9 @@
     void onBackpressure(Fleet::ServerRecord const&, BackpressureSignals const&, Core::TimePoint sentAt);
     void onLimitSignals(Fleet::ServerRecord const&, BackpressureSignals const&, Core::TimePoint sentAt);
     void onLeavingSignals(Fleet::ServerRecord const&, BackpressureSignals const&);
+    void onSilenceSignals(Fleet::ServerRecord const&, BackpressureSignals const&);
+    /// The time for which a server wants no request from this host; zero if it takes requests.
+    Core::Duration silenceLeft(Fleet::ServerNumber);
     void applyRequestLimits(Fleet::ViewUpdate const&);
     /// Returns what a server has asked for since it joined; null if nothing.
     ServerBackpressure* backpressureOf(Fleet::ServerNumber);
--- a/Libraries/LibGateway/RequestCodec.h
+++ b/Libraries/LibGateway/RequestCodec.h
@@ -34,6 +34,9 @@
     /// Whether the server is about to end and takes no further requests.
     bool isLeaving { false };
     bool isLeavingUnreadable { false };
+    /// How long the server, which has turned the request away, wants no further request from this entry host.
+    std::optional<Core::Duration> silence;
+    bool isSilenceUnreadable { false };
 };
 
 /// The metadata that a backend server sends with an answer.
--- a/Libraries/LibGateway/ServerBackpressure.cpp
+++ b/Libraries/LibGateway/ServerBackpressure.cpp
@@ -40,6 +40,13 @@
     return leavingSince_ && now - *leavingSince_ >= time;
 }
 
+bool ServerBackpressure::onSilence(Core::TimePoint now, Core::Duration silence)
+{
+    auto const isNew = silenceLeft(now) == Core::Duration::zero();
+    silentUntil_ = std::max(silentUntil_, now + silence);
+    return isNew;
+}
+
 std::optional<Core::Duration> ServerBackpressure::refusedFor(Core::TimePoint now, Core::Duration patience) const
 {
     if (now >= refusedUntil_ || patience > refusedPatience_)
--- a/Libraries/LibGateway/ServerBackpressure.h
+++ b/Libraries/LibGateway/ServerBackpressure.h
@@ -47,6 +47,17 @@
     /// Reports a leaving server again, since the leader that was told may be lost.
     void repeatLeavingReport() { isLeavingReportDue_ = isLeaving(); }
 
+    /// Records that the server wants no request from this entry host for a time. Returns whether it did not want any
+    /// already.
+    bool onSilence(Core::TimePoint now, Core::Duration);
+    /// The time for which the server wants no request; zero if it takes requests.
+    Core::Duration silenceLeft(Core::TimePoint now) const
+    {
+        return std::max(silentUntil_ - now, Core::Duration::zero());
+    }
+    /// Returns true for the first unreadable silence of the server.
+    bool isFirstUnreadableSilence() { return !std::exchange(hasUnreadableSilence_, true); }
+
     /// Whether a reservation with this patience would be refused, as far as an earlier refusal shows. Returns the time
     /// until the next request could be sent.
     std::optional<Core::Duration> refusedFor(Core::TimePoint now, Core::Duration patience) const;
@@ -75,6 +86,8 @@
     std::optional<Core::TimePoint> leavingSince_;
     bool isLeavingReportDue_ { false };
     bool hasUnreadableLeaving_ { false };
+    Core::TimePoint silentUntil_;
+    bool hasUnreadableSilence_ { false };
     /// Until when, and up to which patience, the leader has refused reservations.
     Core::TimePoint refusedUntil_;
     Core::Duration refusedPatience_ {};
--- a/Libraries/LibTelemetry/Event.h
+++ b/Libraries/LibTelemetry/Event.h
@@ -73,6 +73,8 @@
     RequestLimitUnreadable = 412,
     ServerLeaving = 413,
     ServerLeavingUnreadable = 414,
+    ServerSilent = 415,
+    ServerSilenceUnreadable = 416,
     // Dispatch: 500 to 599.
     DispatcherAppointed = 500,
     DispatcherDismissed = 501,
--- a/Libraries/LibTelemetry/Metrics.cpp
+++ b/Libraries/LibTelemetry/Metrics.cpp
@@ -98,6 +98,8 @@
     Family<Gauge>& limit = gauge(r, "primroseshift_limit", "Concurrency limit by backend server.");
     Family<Gauge>& requestLimit
         = gauge(r, "primroseshift_request_limit", "Requests per second that a backend server takes, as it names them.");
+    Family<Counter>& silences
+        = counter(r, "primroseshift_silences_total", "Rejections of servers that want no requests for a time.");
     Family<Counter>& unreadableLimits
         = counter(r, "primroseshift_unreadable_limits_total", "Answers with a request limit that cannot be read.");
     Family<Counter>& shed = counter(r, "primroseshift_shed_total", "Requests rejected as not run, by reason.");
@@ -311,6 +313,11 @@
     families_->add(families_->unreadableLimits, families_->pool(pool), 1);
 }
 
+void Metrics::countSilence(Core::PoolName const& pool)
+{
+    families_->add(families_->silences, families_->pool(pool), 1);
+}
+
 void Metrics::countShed(Core::PoolName const& pool, std::string_view reason)
 {
     families_->add(families_->shed, families_->poolAnd(pool, "reason", reason), 1);
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -68,6 +68,8 @@
     void clearRequestLimits();
     /// An answer with a request limit that cannot be read.
     void countUnreadableLimit(Core::PoolName const&);
+    /// A rejection of a server that wants no requests for a time.
+    void countSilence(Core::PoolName const&);
     void countShed(Core::PoolName const&, std::string_view reason);
     void countRetry(Core::PoolName const&);
     void countHedge(Core::PoolName const&, bool won);
--- a/Tests/LibGateway/FakeServers.cpp
+++ b/Tests/LibGateway/FakeServers.cpp
@@ -23,6 +23,9 @@
         metadata.backpressure
             = { *limit == "many" ? std::nullopt : std::optional(std::stod(std::string(*limit))), *limit == "many" };
     metadata.backpressure.isLeaving = head.find("Leaving") == "yes";
+    if (auto const silence = head.find("Silence-Ms"); silence && *silence != "many")
+        metadata.backpressure.silence = std::chrono::milliseconds(std::stoi(std::string(*silence)));
+    metadata.backpressure.isSilenceUnreadable = head.find("Silence-Ms") == "many";
     metadata.backpressure.isLeavingUnreadable = head.find("Leaving") == "maybe";
     return metadata;
 }
--- a/Tests/LibTelemetry/TestMetrics.cpp
+++ b/Tests/LibTelemetry/TestMetrics.cpp
@@ -47,6 +47,7 @@
     metrics.observeQueueTime(pool, 1ms);
     metrics.setRequestLimit(pool, { "s1" }, 5.4);
     metrics.countUnreadableLimit(pool);
+    metrics.countSilence(pool);
     metrics.countShed(pool, "overloaded");
     metrics.countRetry(pool);
     metrics.countHedge(pool, true);
--- a/Tests/Platform/TestWire.cpp
+++ b/Tests/Platform/TestWire.cpp
@@ -328,3 +328,30 @@
         BOOST_TEST(headers.readAnswer(head).backpressure.isLeavingUnreadable, text);
     }
 }
+
+BOOST_AUTO_TEST_CASE(OnlyARejectionWithAReadableTimeAsksForSilence)
+{
+    WireHeaders const headers;
+    Proxy::MessageHead head;
+    auto const read = [&](std::uint16_t status, std::vector<Proxy::HeaderField> fields) {
+        head.status = status;
+        head.fields = std::move(fields);
+        return headers.readAnswer(head).backpressure;
+    };
+    BOOST_TEST(!read(503, {}).silence.has_value());
+    BOOST_TEST(!read(503, {}).isSilenceUnreadable);
+    BOOST_TEST((read(503, { { "retry-after", "2.5" } }).silence == 2500ms));
+    BOOST_TEST((read(503, { { "Retry-After", "0" } }).silence == 0ms));
+    BOOST_TEST((read(503, { { "Retry-After", "7200" } }).silence == 2h));
+    BOOST_TEST((read(503, { { "Retry-After", "99999999999999999999" } }).silence == 24h));
+    BOOST_TEST((read(503, { { "Retry-After", "1" }, { "Retry-After", "3" }, { "Retry-After", "x" } }).silence == 3s));
+    for (std::uint16_t const status : { 200, 421, 429, 500 }) {
+        BOOST_TEST(!read(status, { { "Retry-After", "3" } }).silence.has_value());
+        BOOST_TEST(!read(status, { { "Retry-After", "soon" } }).isSilenceUnreadable);
+    }
+    for (auto const& text : { std::string(), std::string("-3"), std::string("soon"), std::string("1e400"),
+             std::string("Wed, 21 Oct 2026 07:28:00 GMT"), std::string(60, '9') }) {
+        BOOST_TEST(!read(503, { { "Retry-After", text } }).silence.has_value(), text);
+        BOOST_TEST(read(503, { { "Retry-After", text } }).isSilenceUnreadable, text);
+    }
+}
