Keep the workspaces that the operator configures

Change: workspaces are versioned items of the replicated state, read back as they were sent. Two that share an API key after the change, or within it, make it invalid. Entry hosts do not use them. Evidence: the new tests of TestLibFleet and TestPlatform; on the code before, TenantsAreReadBackAsTheyWereSent finds no Tenants.

--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -325,8 +325,9 @@
 void ControlHost::logChanges(Fleet::Command const& command, Fleet::ApplyResult const& applied)
 {
     if (applied.hasChangedItems)
-        events_.write(
-            EventId::EditAccepted, { { "routes", applied.routes.size() }, { "pools", applied.pools.size() } });
+        events_.write(EventId::EditAccepted,
+            { { "routes", applied.routes.size() }, { "pools", applied.pools.size() },
+                { "workspaces", applied.workspaces.size() } });
     if (command.domain)
         events_.write(command.domain->isEvacuated ? EventId::DrainStarted : EventId::ReturnStarted,
             { { "domain", command.domain->domain.value } });
--- a/Libraries/LibCore/Identifiers.h
+++ b/Libraries/LibCore/Identifiers.h
@@ -29,6 +29,7 @@
 };
 
 using PoolName = Name<struct PoolNameTag>;
+using WorkspaceName = Name<struct WorkspaceNameTag>;
 using RouteName = Name<struct RouteNameTag>;
 using ServerName = Name<struct ServerNameTag>;
 using HostName = Name<struct HostNameTag>;
--- a/Libraries/LibFleet/Model.h
+++ b/Libraries/LibFleet/Model.h
@@ -83,6 +83,16 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
     LimitsItem, version, maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs, document)
 
+/// A customer of the operator. Entry hosts do not use workspaces yet; they are kept for the operator.
+struct WorkspaceItem {
+    Core::WorkspaceName name;
+    std::uint64_t version { 0 };
+    /// The secrets by which requests show that they are the workspace's. No two workspaces have the same.
+    std::vector<std::string> apiKeys;
+    std::string document;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkspaceItem, name, version, apiKeys, document)
+
 /// Removes the item of this name if `version` is higher than the item's version.
 struct Removal {
     std::string name;
@@ -94,8 +104,10 @@
     std::vector<RouteItem> routes;
     std::vector<PoolItem> pools;
     std::optional<LimitsItem> limits;
+    std::vector<WorkspaceItem> workspaces;
     std::vector<Removal> removedRoutes;
     std::vector<Removal> removedPools;
+    std::vector<Removal> removedWorkspaces;
     /// Whether a route to a removed pool makes the change invalid. False for changes in the logs of earlier software
     /// versions, which accepted such routes: what was acknowledged must not be lost when the log is applied again.
     bool rejectsRemovedPools { true };
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -45,8 +45,45 @@
         return index + 1;
     }
 
+    using Workspaces = std::map<std::string, VersionedItem<WorkspaceItem>>;
+
+    /// Applies the part of the change that concerns workspaces. Returns whether any workspace was set.
+    bool applyTo(Workspaces& workspaces, ItemChange const& change)
+    {
+        auto isSet = false;
+        for (auto const& workspace : change.workspaces)
+            isSet = setItem(workspaces, workspace.name.value, workspace, 0) || isSet;
+        for (auto const& removal : change.removedWorkspaces)
+            removeItem(workspaces, removal, 0);
+        return isSet;
+    }
+
+    /// Returns two workspaces with the same API key, if there are any.
+    std::optional<SharedApiKey> findSharedApiKey(Workspaces const& workspaces)
+    {
+        std::map<std::string_view, WorkspaceItem const*> holders;
+        for (auto const& [name, held] : workspaces) {
+            if (!held.item)
+                continue;
+            for (auto const& key : held.item->apiKeys) {
+                auto const [holder, isNew] = holders.try_emplace(key, &*held.item);
+                if (!isNew && holder->second->name != held.item->name)
+                    return SharedApiKey { holder->second->name, held.item->name };
+            }
+        }
+        return std::nullopt;
+    }
+
 } // namespace
 
+std::string describe(ChangeError const& error)
+{
+    if (auto const* const unknown = std::get_if<UnknownPool>(&error))
+        return "route " + unknown->route.value + " names the unknown pool " + unknown->pool.value;
+    auto const& shared = std::get<SharedApiKey>(error);
+    return "workspaces " + shared.first.value + " and " + shared.second.value + " share an API key";
+}
+
 ApplyResult State::apply(Command const& command)
 {
     ApplyResult applied;
@@ -90,9 +127,25 @@
                 return UnknownPool { route.name, share.pool };
         }
     }
+    if (auto const shared = findSharedApiKey(change))
+        return *shared;
     return std::nullopt;
 }
 
+/// Compares the workspaces of the change with each other and, if any of them takes effect, with all that stand then.
+/// What has no effect is not compared with later workspaces: it may have been accepted before, and comes again.
+std::optional<SharedApiKey> State::findSharedApiKey(ItemChange const& change) const
+{
+    if (change.workspaces.empty())
+        return std::nullopt;
+    Workspaces sent;
+    applyTo(sent, change);
+    if (auto const shared = Fleet::findSharedApiKey(sent))
+        return shared;
+    auto after = workspaces_;
+    return applyTo(after, change) ? Fleet::findSharedApiKey(after) : std::nullopt;
+}
+
 /// Whether a pool of this name was ever added or removed, or is added by the change.
 bool State::isPoolNamed(ItemChange const& change, Core::PoolName const& name) const
 {
@@ -132,6 +185,14 @@
         if (setItem(routes_, route.name.value, route, revision))
             applied.routes.push_back(route.name);
     }
+    for (auto const& workspace : change.workspaces) {
+        if (setItem(workspaces_, workspace.name.value, workspace, revision))
+            applied.workspaces.push_back(workspace.name);
+    }
+    for (auto const& removal : change.removedWorkspaces) {
+        if (removeItem(workspaces_, removal, revision))
+            applied.workspaces.push_back({ removal.name });
+    }
     for (auto const& removal : change.removedRoutes) {
         if (removeItem(routes_, removal, revision))
             applied.routes.push_back({ removal.name });
@@ -143,7 +204,8 @@
     auto const hasNewLimits = change.limits && change.limits->version > limits_.version;
     if (hasNewLimits)
         limits_ = *change.limits;
-    applied.hasChangedItems = hasNewLimits || !applied.routes.empty() || !applied.pools.empty();
+    applied.hasChangedItems
+        = hasNewLimits || !applied.routes.empty() || !applied.pools.empty() || !applied.workspaces.empty();
     if (applied.hasChangedItems)
         itemRevision_ = revision;
 }
@@ -257,6 +319,7 @@
 {
     out = nlohmann::json { { "routes", change.routes }, { "pools", change.pools }, { "limits", change.limits },
         { "removedRoutes", change.removedRoutes }, { "removedPools", change.removedPools },
+        { "workspaces", change.workspaces }, { "removedWorkspaces", change.removedWorkspaces },
         { "rejectsRemovedPools", change.rejectsRemovedPools } };
 }
 
@@ -267,15 +330,18 @@
     in.at("limits").get_to(change.limits);
     in.at("removedRoutes").get_to(change.removedRoutes);
     in.at("removedPools").get_to(change.removedPools);
+    // Logs of earlier software versions have no workspaces.
+    change.workspaces = in.value("workspaces", std::vector<WorkspaceItem> {});
+    change.removedWorkspaces = in.value("removedWorkspaces", std::vector<Removal> {});
     change.rejectsRemovedPools = in.value("rejectsRemovedPools", false);
 }
 
 void to_json(nlohmann::json& out, State const& state)
 {
-    out = nlohmann::json { { "routes", state.routes_ }, { "pools", state.pools_ }, { "limits", state.limits_ },
-        { "itemRevision", state.itemRevision_ }, { "evacuated", state.evacuated_ }, { "servers", state.servers_ },
-        { "nextServer", state.nextServer_ }, { "departed", state.departed_ }, { "keys", state.keys_ },
-        { "nextFence", state.nextFence_ } };
+    out = nlohmann::json { { "routes", state.routes_ }, { "pools", state.pools_ }, { "workspaces", state.workspaces_ },
+        { "limits", state.limits_ }, { "itemRevision", state.itemRevision_ }, { "evacuated", state.evacuated_ },
+        { "servers", state.servers_ }, { "nextServer", state.nextServer_ }, { "departed", state.departed_ },
+        { "keys", state.keys_ }, { "nextFence", state.nextFence_ } };
 }
 
 void from_json(nlohmann::json const& in, State& state)
@@ -283,7 +349,8 @@
     in.at("routes").get_to(state.routes_);
     in.at("pools").get_to(state.pools_);
     in.at("limits").get_to(state.limits_);
-    // Snapshots of earlier software versions lack this field.
+    // Snapshots of earlier software versions lack these fields.
+    state.workspaces_ = in.value("workspaces", decltype(state.workspaces_) {});
     state.itemRevision_ = in.value("itemRevision", std::uint64_t { 0 });
     in.at("evacuated").get_to(state.evacuated_);
     in.at("servers").get_to(state.servers_);
--- a/Libraries/LibFleet/State.h
+++ b/Libraries/LibFleet/State.h
@@ -12,13 +12,21 @@
     Core::RouteName route;
     Core::PoolName pool;
 };
-using ChangeError = std::variant<UnknownPool>;
+/// The error for two workspaces with the same API key.
+struct SharedApiKey {
+    Core::WorkspaceName first;
+    Core::WorkspaceName second;
+};
+using ChangeError = std::variant<UnknownPool, SharedApiKey>;
+/// A text for the log and the operator, without secrets.
+std::string describe(ChangeError const&);
 
 /// The changes that a command made to the state.
 struct ApplyResult {
     bool hasChangedItems { false };
     std::vector<Core::RouteName> routes;
     std::vector<Core::PoolName> pools;
+    std::vector<Core::WorkspaceName> workspaces;
     std::vector<ServerNumber> joined;
     std::vector<ServerNumber> changedServers;
     std::vector<ServerNumber> removedServers;
@@ -40,6 +48,7 @@
 
     std::map<std::string, VersionedItem<RouteItem>> const& routes() const { return routes_; }
     std::map<std::string, VersionedItem<PoolItem>> const& pools() const { return pools_; }
+    std::map<std::string, VersionedItem<WorkspaceItem>> const& workspaces() const { return workspaces_; }
     LimitsItem const& limits() const { return limits_; }
     /// The number of commands that changed items. It is the same on every host that has applied the same commands, so
     /// an entry host that has all items up to a revision needs only newer items from any leader.
@@ -55,6 +64,7 @@
 
 private:
     std::optional<ChangeError> check(ItemChange const&) const;
+    std::optional<SharedApiKey> findSharedApiKey(ItemChange const&) const;
     bool hasPoolAfter(ItemChange const&, Core::PoolName const&) const;
     bool isPoolNamed(ItemChange const&, Core::PoolName const&) const;
     void apply(ItemChange const&, ApplyResult&);
@@ -69,6 +79,7 @@
 
     std::map<std::string, VersionedItem<RouteItem>> routes_;
     std::map<std::string, VersionedItem<PoolItem>> pools_;
+    std::map<std::string, VersionedItem<WorkspaceItem>> workspaces_;
     LimitsItem limits_;
     std::uint64_t itemRevision_ { 0 };
     std::set<std::string> evacuated_;
--- a/Tests/LibFleet/TestState.cpp
+++ b/Tests/LibFleet/TestState.cpp
@@ -47,6 +47,19 @@
     return command;
 }
 
+WorkspaceItem makeWorkspace(std::string const& name, std::uint64_t version, std::vector<std::string> keys)
+{
+    return { { name }, version, std::move(keys), "{\"Version\":" + std::to_string(version) + "}" };
+}
+
+Command workspaceChange(std::vector<WorkspaceItem> workspaces)
+{
+    Command command;
+    command.items.emplace();
+    command.items->workspaces = std::move(workspaces);
+    return command;
+}
+
 std::uint64_t versionOf(State const& state, std::string const& route) { return state.routes().at(route).version; }
 
 } // namespace
@@ -173,6 +186,62 @@
     BOOST_TEST(state.routes().contains("old"));
 }
 
+// CONFIG of issue 42: workspaces were acknowledged and not kept.
+BOOST_AUTO_TEST_CASE(WorkspacesAreItemsWithVersions)
+{
+    State state;
+    auto const first = workspaceChange({ makeWorkspace("a", 5, { "k1", "k1" }), makeWorkspace("b", 5, {}) });
+    BOOST_TEST(state.apply(first).workspaces.size() == 2);
+    BOOST_TEST(state.itemRevision() == 1);
+    BOOST_TEST(state.apply(workspaceChange({ makeWorkspace("a", 5, { "k2" }) })).workspaces.empty());
+    BOOST_TEST(state.workspaces().at("a").item->apiKeys.front() == "k1");
+    Command removal;
+    removal.items.emplace();
+    removal.items->removedWorkspaces.push_back({ "a", 7 });
+    BOOST_TEST(state.apply(removal).hasChangedItems);
+    state.apply(workspaceChange({ makeWorkspace("a", 6, { "k3" }) }));
+    BOOST_TEST(!state.workspaces().at("a").item.has_value());
+    State restored;
+    BOOST_REQUIRE(restored.restore(state.snapshot()));
+    BOOST_TEST(restored.workspaces().at("a").version == 7);
+    BOOST_TEST(restored.workspaces().at("b").item.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TwoWorkspacesWithOneKeyAreRejectedAsAWhole)
+{
+    State state;
+    BOOST_TEST(state.apply(workspaceChange({ makeWorkspace("a", 1, { "k" }), makeWorkspace("b", 1, { "k" }) }))
+                   .error.has_value());
+    BOOST_TEST(state.workspaces().empty());
+    BOOST_TEST(!state.apply(workspaceChange({ makeWorkspace("a", 2, { "k" }) })).error.has_value());
+    BOOST_TEST(state.apply(workspaceChange({ makeWorkspace("b", 3, { "other", "k" }) })).error.has_value());
+    // A key may move in one change, and after its first holder has given it up or is removed.
+    auto const moving = workspaceChange({ makeWorkspace("a", 4, {}), makeWorkspace("b", 4, { "k" }) });
+    BOOST_TEST(!state.apply(moving).error.has_value());
+    auto removing = workspaceChange({ makeWorkspace("c", 5, { "k" }) });
+    BOOST_TEST(state.apply(removing).error.has_value());
+    removing.items->removedWorkspaces.push_back({ "b", 5 });
+    BOOST_TEST(!state.apply(removing).error.has_value());
+    // What was accepted is accepted when it comes again, whoever has the key now.
+    BOOST_TEST(!state.apply(workspaceChange({ makeWorkspace("a", 2, { "k" }) })).error.has_value());
+    BOOST_TEST(!state.apply(moving).error.has_value());
+    BOOST_TEST(state.workspaces().at("c").item->apiKeys.front() == "k");
+}
+
+BOOST_AUTO_TEST_CASE(ALogOfAnEarlierVersionHasNoWorkspaces)
+{
+    nlohmann::json encoded = configure();
+    encoded["items"].erase("workspaces");
+    encoded["items"].erase("removedWorkspaces");
+    auto const logged = decode<Command>(encode(encoded));
+    BOOST_REQUIRE(logged.has_value());
+    State state;
+    BOOST_TEST(!state.apply(*logged).error.has_value());
+    nlohmann::json snapshot = state;
+    snapshot.erase("workspaces");
+    BOOST_TEST(state.restore(encode(snapshot)));
+}
+
 BOOST_AUTO_TEST_CASE(SnapshotsHoldEverything)
 {
     State state;
--- a/Tests/Platform/TestWire.cpp
+++ b/Tests/Platform/TestWire.cpp
@@ -243,6 +243,42 @@
     BOOST_TEST(body["Limits"]["IdleTimeoutS"] == 4);
 }
 
+// CONFIG of issue 42: tenants were acknowledged and were missing when the items were read back.
+BOOST_AUTO_TEST_CASE(TenantsAreReadBackAsTheyWereSent)
+{
+    Fleet::State state;
+    BOOST_TEST(!nlohmann::json::parse(formatItems(state)).contains("Tenants"));
+    for (std::string const& body :
+        { std::string(
+              R"({"Upsert":{"Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"RatePerS":2.5,"Burst":10,"Priority":1,)"
+              R"("Version":7,"Extra":[1]},{"Name":"u","ApiKeys":[],"Version":8}]}})"),
+            std::string(R"({"Remove":{"Tenants":[{"Name":"u","Version":9}]}})") }) {
+        auto change = parseChange(body);
+        BOOST_REQUIRE(!change.isError());
+        Fleet::Command command;
+        command.items = std::move(change).value();
+        BOOST_TEST(!state.apply(command).error.has_value());
+    }
+    auto const body = nlohmann::json::parse(formatItems(state));
+    BOOST_TEST(body["Tenants"].dump()
+        == R"([{"ApiKeys":["k1","k2"],"Burst":10,"Extra":[1],"Name":"t","Priority":1,"RatePerS":2.5,"Version":7}])");
+}
+
+BOOST_AUTO_TEST_CASE(TenantsThatCannotBeReadAreRejected)
+{
+    for (std::string const& fields :
+        { std::string(R"("ApiKeys":["k"],"Version":1)"), std::string(R"("Name":"t","Version":1)"),
+            std::string(R"("Name":"t","ApiKeys":["k"])"), std::string(R"("Name":"","ApiKeys":["k"],"Version":1)"),
+            std::string(R"("Name":"t","ApiKeys":"k","Version":1)"),
+            std::string(R"("Name":"t","ApiKeys":[""],"Version":1)"),
+            std::string(R"("Name":"t","ApiKeys":[7],"Version":1)"),
+            std::string(R"("Name":"t","ApiKeys":null,"Version":1)"),
+            std::string(R"("Name":"t","ApiKeys":["k"],"Version":1,"RatePerS":-1)"),
+            std::string(R"("Name":"t","ApiKeys":["k"],"Version":1,"Burst":"many")"),
+            std::string(R"("Name":"t","ApiKeys":["k"],"Version":1,"Priority":-1)") })
+        BOOST_TEST(parseChange(R"({"Upsert":{"Tenants":[{)" + fields + "}]}}").isError(), fields);
+}
+
 BOOST_AUTO_TEST_CASE(AGrantIsARowForEachRange)
 {
     Fleet::Grant grant;
