--- a/Tests/Processes/trial.py
+++ b/Tests/Processes/trial.py
@@ -52,7 +52,9 @@
         await self.site.start()
         route = {"Host": HOST, "Kind": "safe", "TimeoutS": DEADLINE_S, "TargetLatencyS": 0.5, "Priority": 1,
                  "MaxAttempts": 2}
-        service = {"HealthPath": "/health", "MaxConns": 110, "Protocol": "h1", "Tls": False, "WarmupS": 0.0,
+        # Each entry host has as many connections to a server as one of eight hosts has.
+        connections = max(110, 14 * len(self.site.entry))
+        service = {"HealthPath": "/health", "MaxConns": connections, "Protocol": "h1", "Tls": False, "WarmupS": 0.0,
                    "WarmupPerS": 18.0}
         await self.site.configure({
             "Routes": [dict(route, Name="r-" + pool, PathPrefix="/%s/" % pool, Service=pool) for pool in POOLS],
