Reject configurations with tables of unknown names

What the operator saw: a call with a misspelt or unknown table was acknowledged, and what it held was lost; a configuration that cannot be read in full is invalid. Cause: the reader looked up the names that it knows and passed over all others.

--- a/Tests/Platform/TestWire.cpp
+++ b/Tests/Platform/TestWire.cpp
@@ -279,6 +279,21 @@
         BOOST_TEST(parseChange(R"({"Upsert":{"Tenants":[{)" + fields + "}]}}").isError(), fields);
 }
 
+// CONFIG of issue 42: a table of an unknown name was acknowledged and lost.
+BOOST_AUTO_TEST_CASE(ConfigurationsWithUnknownTablesAreRejected)
+{
+    for (std::string const& body : { std::string("{}"), std::string(R"({"Upsert":{},"Remove":{}})"),
+             std::string(R"({"Upsert":{"Routes":[],"Services":[],"Tenants":[],"Limits":null},)"
+                         R"("Remove":{"Routes":[],"Services":[],"Tenants":[]}})") })
+        BOOST_TEST(!parseChange(body).isError(), body);
+    for (std::string const& body : { std::string(R"({"Upsert":{"Policies":[]}})"),
+             std::string(R"({"Upsert":{"routes":[]}})"), std::string(R"({"Remove":{"Limits":[]}})"),
+             std::string(R"({"Remove":{"Tenant":[]}})"), std::string(R"({"Upserts":{}})"),
+             std::string(R"({"Upsert":[]})"), std::string(R"({"Remove":7})"), std::string(R"({"Upsert":null})") })
+        BOOST_TEST(parseChange(body).isError(), body);
+    BOOST_TEST(parseChange(R"({"Upsert":{"Policies":[]}})").error().reason.find("Policies") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(AGrantIsARowForEachRange)
 {
     Fleet::Grant grant;
