Reject the removal of a pool that a route still names

What the operator saw: DELETE of a service that a route names was acknowledged, and the route's callers were refused as pool-dropped. A configuration in which a route names an unknown service is invalid. Cause: only routes of the change were checked, not those that stand. Change: the removal is refused unless the same change, or an earlier one, moves or removes the routes. What was accepted once is accepted again. Logs of earlier versions keep the state that they gave; while control hosts of both versions run, old ones still accept such a removal. Evidence: TheRemovalOfAPoolThatARouteNamesIsRejected fails on the code before. Four tests removed a pool that a route named, as a step on the way; they remove the route first now, and check the same and that the removal is accepted.

--- a/Libraries/LibFleet/Model.h
+++ b/Libraries/LibFleet/Model.h
@@ -111,6 +111,9 @@
     /// Whether a route to a removed pool makes the change invalid. False for changes in the logs of earlier software
     /// versions, which accepted such routes: what was acknowledged must not be lost when the log is applied again.
     bool rejectsRemovedPools { true };
+    /// Whether the removal of a pool that a route refers to makes the change invalid. False for changes in the logs of
+    /// earlier software versions, which accepted it.
+    bool rejectsUsedPools { true };
 };
 void to_json(nlohmann::json&, ItemChange const&);
 void from_json(nlohmann::json const&, ItemChange&);
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -80,6 +80,8 @@
 {
     if (auto const* const unknown = std::get_if<UnknownPool>(&error))
         return "route " + unknown->route.value + " names the unknown pool " + unknown->pool.value;
+    if (auto const* const used = std::get_if<PoolInUse>(&error))
+        return "route " + used->route.value + " still names the pool " + used->pool.value;
     auto const& shared = std::get<SharedApiKey>(error);
     return "workspaces " + shared.first.value + " and " + shared.second.value + " share an API key";
 }
@@ -127,11 +129,40 @@
                 return UnknownPool { route.name, share.pool };
         }
     }
+    if (auto const used = findRemovedPoolInUse(change); used && change.rejectsUsedPools)
+        return *used;
     if (auto const shared = findSharedApiKey(change))
         return *shared;
     return std::nullopt;
 }
 
+/// Returns a route that refers, after the change, to a pool that the change removes.
+std::optional<PoolInUse> State::findRemovedPoolInUse(ItemChange const& change) const
+{
+    std::set<Core::PoolName> removed;
+    for (auto const& removal : change.removedPools) {
+        Core::PoolName const pool { removal.name };
+        if (findPool(pool) && !hasPoolAfter(change, pool))
+            removed.insert(pool);
+    }
+    if (removed.empty())
+        return std::nullopt;
+    auto after = routes_;
+    for (auto const& route : change.routes)
+        setItem(after, route.name.value, route, 0);
+    for (auto const& removal : change.removedRoutes)
+        removeItem(after, removal, 0);
+    for (auto const& [name, held] : after) {
+        if (!held.item)
+            continue;
+        auto const used
+            = std::ranges::find_if(held.item->shares, [&](auto const& share) { return removed.contains(share.pool); });
+        if (used != held.item->shares.end())
+            return PoolInUse { held.item->name, used->pool };
+    }
+    return std::nullopt;
+}
+
 /// Compares the workspaces of the change with each other and, if any of them takes effect, with all that stand then.
 /// What has no effect is not compared with later workspaces: it may have been accepted before, and comes again.
 std::optional<SharedApiKey> State::findSharedApiKey(ItemChange const& change) const
@@ -320,7 +351,7 @@
     out = nlohmann::json { { "routes", change.routes }, { "pools", change.pools }, { "limits", change.limits },
         { "removedRoutes", change.removedRoutes }, { "removedPools", change.removedPools },
         { "workspaces", change.workspaces }, { "removedWorkspaces", change.removedWorkspaces },
-        { "rejectsRemovedPools", change.rejectsRemovedPools } };
+        { "rejectsRemovedPools", change.rejectsRemovedPools }, { "rejectsUsedPools", change.rejectsUsedPools } };
 }
 
 void from_json(nlohmann::json const& in, ItemChange& change)
@@ -334,6 +365,7 @@
     change.workspaces = in.value("workspaces", std::vector<WorkspaceItem> {});
     change.removedWorkspaces = in.value("removedWorkspaces", std::vector<Removal> {});
     change.rejectsRemovedPools = in.value("rejectsRemovedPools", false);
+    change.rejectsUsedPools = in.value("rejectsUsedPools", false);
 }
 
 void to_json(nlohmann::json& out, State const& state)
--- a/Libraries/LibFleet/State.h
+++ b/Libraries/LibFleet/State.h
@@ -17,7 +17,12 @@
     Core::WorkspaceName first;
     Core::WorkspaceName second;
 };
-using ChangeError = std::variant<UnknownPool, SharedApiKey>;
+/// The error for the removal of a pool that a route still refers to.
+struct PoolInUse {
+    Core::RouteName route;
+    Core::PoolName pool;
+};
+using ChangeError = std::variant<UnknownPool, PoolInUse, SharedApiKey>;
 /// A text for the log and the operator, without secrets.
 std::string describe(ChangeError const&);
 
@@ -65,6 +70,7 @@
 private:
     std::optional<ChangeError> check(ItemChange const&) const;
     std::optional<SharedApiKey> findSharedApiKey(ItemChange const&) const;
+    std::optional<PoolInUse> findRemovedPoolInUse(ItemChange const&) const;
     bool hasPoolAfter(ItemChange const&, Core::PoolName const&) const;
     bool isPoolNamed(ItemChange const&, Core::PoolName const&) const;
     void apply(ItemChange const&, ApplyResult&);
--- a/Tests/LibFleet/TestState.cpp
+++ b/Tests/LibFleet/TestState.cpp
@@ -128,7 +128,8 @@
     auto route = makeRoute("bad", 2);
     route.shares = { { { "nowhere" }, 1 } };
     BOOST_TEST(state.apply(routeChange(route)).error.has_value());
-    state.apply(poolRemoval(lettersPool.value, 4));
+    state.apply(routeRemoval("route", 4));
+    BOOST_TEST(!state.apply(poolRemoval(lettersPool.value, 4)).error.has_value());
     BOOST_TEST(state.apply(routeChange(makeRoute("bad", 2))).error.has_value());
     BOOST_TEST(!state.routes().contains("bad"));
 }
@@ -141,7 +142,8 @@
     removing.items->removedPools.push_back({ lettersPool.value, 5 });
     BOOST_TEST(state.apply(removing).error.has_value());
     BOOST_TEST(state.findPool(lettersPool) != nullptr);
-    state.apply(poolRemoval(lettersPool.value, 5));
+    state.apply(routeRemoval("route", 4));
+    BOOST_TEST(!state.apply(poolRemoval(lettersPool.value, 5)).error.has_value());
     auto outdated = routeChange(makeRoute("bad", 2));
     outdated.items->pools.push_back(makePool(4));
     BOOST_TEST(state.apply(outdated).error.has_value());
@@ -157,9 +159,47 @@
     BOOST_TEST(!state.apply(first).error.has_value());
     auto const second = routeChange(makeRoute("route", 7));
     BOOST_TEST(!state.apply(second).error.has_value());
-    state.apply(poolRemoval(lettersPool.value, 9));
-    BOOST_TEST(!state.apply(first).error.has_value());
-    BOOST_TEST(!state.apply(second).error.has_value());
+    auto third = poolRemoval(lettersPool.value, 9);
+    third.items->removedRoutes.push_back({ "route", 8 });
+    BOOST_TEST(!state.apply(third).error.has_value());
+    for (Command const* const command : { &first, &second, &std::as_const(third) })
+        BOOST_TEST(!state.apply(*command).error.has_value());
+    BOOST_TEST(state.findPool(lettersPool) == nullptr);
+}
+
+// CONFIG of issue 42: the removal of a pool left routes that name an unknown one, and was acknowledged.
+BOOST_AUTO_TEST_CASE(TheRemovalOfAPoolThatARouteNamesIsRejected)
+{
+    State state;
+    state.apply(configure());
+    BOOST_TEST(state.apply(poolRemoval(lettersPool.value, 5)).error.has_value());
+    BOOST_TEST(state.findPool(lettersPool) != nullptr);
+    // A removal of the route that has no effect does not help.
+    auto together = poolRemoval(lettersPool.value, 5);
+    together.items->removedRoutes.push_back({ "route", 1 });
+    BOOST_TEST(state.apply(together).error.has_value());
+    // One that moves the route to another pool does.
+    auto moving = poolRemoval(lettersPool.value, 5);
+    moving.items->pools.push_back(makePool());
+    moving.items->pools.front().name = { "parcels" };
+    moving.items->routes.push_back(makeRoute("route", 2));
+    moving.items->routes.front().shares = { { { "parcels" }, 1 } };
+    BOOST_TEST(!state.apply(moving).error.has_value());
+    BOOST_TEST(state.findPool(lettersPool) == nullptr);
+    // It is accepted again when it comes again, as is the removal of what never existed.
+    BOOST_TEST(!state.apply(moving).error.has_value());
+    BOOST_TEST(!state.apply(poolRemoval("nowhere", 5)).error.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TheRemovalOfAPoolThatARouteNamesInAnOlderLogKeepsItsEffect)
+{
+    State state;
+    state.apply(configure());
+    nlohmann::json encoded = poolRemoval(lettersPool.value, 3);
+    encoded["items"].erase("rejectsUsedPools");
+    auto const logged = decode<Command>(encode(encoded));
+    BOOST_REQUIRE(logged.has_value());
+    BOOST_TEST(!state.apply(*logged).error.has_value());
     BOOST_TEST(state.findPool(lettersPool) == nullptr);
 }
 
@@ -177,6 +217,7 @@
 {
     State state;
     state.apply(configure());
+    state.apply(routeRemoval("route", 3));
     state.apply(poolRemoval(lettersPool.value, 3));
     nlohmann::json encoded = routeChange(makeRoute("old", 2));
     encoded["items"].erase("rejectsRemovedPools");
