Tell the operator which field of which item is wrong

What the operator saw: {} as the body of every refusal, so that nobody could tell what was wrong with a change of hundreds of items. Cause: reasons went to the log of the control host only, and without the item. Change: the body of a 400 has the reason, which begins with the list and the name of the item (or its place, if it has none). Evidence: ARefusalNamesTheItemAndItsField.

--- a/Tests/Platform/TestWire.cpp
+++ b/Tests/Platform/TestWire.cpp
@@ -294,6 +294,17 @@
     BOOST_TEST(parseChange(R"({"Upsert":{"Policies":[]}})").error().reason.find("Policies") != std::string::npos);
 }
 
+// Refusals had an empty body, and the operator had to guess which field of which item was wrong.
+BOOST_AUTO_TEST_CASE(ARefusalNamesTheItemAndItsField)
+{
+    auto const reason = [](std::string const& body) { return parseChange(body).error().reason; };
+    BOOST_TEST(reason(routeWith("TimeoutS", "601")) == "Routes r: TimeoutS: expected a time of up to ten minutes");
+    BOOST_TEST(reason(routeWith("Name", "")) == "Routes 0: Name: expected a value");
+    BOOST_TEST(reason(R"({"Upsert":{"Services":[7]}})").starts_with("Services 0: "));
+    BOOST_TEST(reason(R"({"Remove":{"Tenants":[{"Name":"t"}]}})") == "Tenants t: Version: expected a value");
+    BOOST_TEST(formatError("a \"quoted\" \xff text") == "{\"Error\":\"a \\\"quoted\\\" \xef\xbf\xbd text\"}");
+}
+
 BOOST_AUTO_TEST_CASE(AGrantIsARowForEachRange)
 {
     Fleet::Grant grant;
