Free the memory of idle connections

What operators saw: a server whose bytes did not end took the memory of the host that had called it, and the process ended. Cause: buffers were emptied by assigning {} to a string or vector, which keeps the capacity in libstdc++. Change: one function that swaps with an empty one, used wherever memory was meant to be freed.

--- a/Libraries/LibConsensus/SnapshotReceiver.cpp
+++ b/Libraries/LibConsensus/SnapshotReceiver.cpp
@@ -1,5 +1,6 @@
 #include <LibConsensus/SnapshotReceiver.h>
 #include <LibCore/Hash.h>
+#include <LibCore/Memory.h>
 
 #include <utility>
 
@@ -34,7 +35,7 @@
 void SnapshotReceiver::clear()
 {
     metadata_.reset();
-    data_ = {};
+    Core::releaseMemory(data_);
 }
 
 } // namespace Consensus
--- a/Libraries/LibNet/FrameChannel.cpp
+++ b/Libraries/LibNet/FrameChannel.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Memory.h>
 #include <LibNet/FrameChannel.h>
 
 #include <algorithm>
@@ -13,6 +14,7 @@
     /// retransmission are not taken for silence.
     constexpr Core::Duration silenceLimit = std::chrono::milliseconds(1100);
     constexpr std::size_t lengthBytes = 4;
+    constexpr std::size_t maxKeptBytes = 16UL * 1024;
 
     StreamSettings channelSettings()
     {
@@ -101,11 +103,20 @@
             handler_.onFrame(*this, payload);
     }
     if (begin == partial_.size())
-        partial_ = {};
+        releasePartial();
     else
         partial_.erase(0, begin);
 }
 
+/// Frees the memory of a large frame, and keeps that of small ones, which follow each other all the time.
+void FrameChannel::releasePartial()
+{
+    if (partial_.capacity() > maxKeptBytes)
+        Core::releaseMemory(partial_);
+    else
+        partial_.clear();
+}
+
 void FrameChannel::onEnd(Stream&, StreamEnd) { end(); }
 
 void FrameChannel::startKeepAlive()
--- a/Libraries/LibNet/FrameChannel.h
+++ b/Libraries/LibNet/FrameChannel.h
@@ -39,6 +39,7 @@
     void onEnd(Stream&, StreamEnd) override;
     void startKeepAlive();
     void keepAlive();
+    void releasePartial();
     void end();
 
     EventLoop& loop_;
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Memory.h>
 #include <LibNet/HttpClient.h>
 
 #include <array>
@@ -91,7 +92,7 @@
         unsentBegin_ += count;
         stream_.write(rest.substr(0, count));
     }
-    unsent_ = {};
+    Core::releaseMemory(unsent_);
     unsentBegin_ = 0;
 }
 
@@ -200,7 +201,7 @@
 
 void HttpClient::dropBody()
 {
-    body_ = {};
+    Core::releaseMemory(body_);
     if (settings_.budget)
         settings_.budget->release(*this);
 }
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Memory.h>
 #include <LibNet/HttpServer.h>
 #include <LibProxy/HeaderRules.h>
 
@@ -224,7 +225,7 @@
     {
         server_.heldBodyBytes_ -= heldBytes_ + body_.size();
         heldBytes_ = 0;
-        body_ = {};
+        Core::releaseMemory(body_);
     }
 
     void linger()
--- a/Libraries/LibNet/Stream.cpp
+++ b/Libraries/LibNet/Stream.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Memory.h>
 #include <LibNet/Stream.h>
 
 #include <arpa/inet.h>
@@ -187,7 +188,7 @@
         }
         outputBegin_ += static_cast<std::size_t>(sent);
     }
-    output_ = {};
+    Core::releaseMemory(output_);
     outputBegin_ = 0;
     wantsWrite_ = false;
     updateInterest();
--- a/Libraries/LibProxy/InputBuffer.cpp
+++ b/Libraries/LibProxy/InputBuffer.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Memory.h>
 #include <LibProxy/InputBuffer.h>
 
 #include <algorithm>
@@ -29,7 +30,7 @@
 void InputBuffer::releaseMemory()
 {
     if (isEmpty())
-        storage_ = {};
+        Core::releaseMemory(storage_);
 }
 
 void InputBuffer::makeRoom()
