Bound the answers that callers do not take

Cause: memory for bodies is checked when a request arrives, and answers that are being read have a budget, but requests that were accepted while there was room all kept their answers until their callers had taken them, however many there were. A large answer was copied twice on its way, besides. Change: an answer of 64 KiB or more is given up (502, no-memory) if those that wait for their callers would exceed 72 MiB. Large bodies are handed to the stream without a copy.

--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -548,6 +548,10 @@
 
 void Exchange::relay(Net::HttpAnswer answer)
 {
+    if (!gateway_.hasRoomForAnswer(answer.body.size())) {
+        fail(statusBadGateway, "no-memory");
+        return;
+    }
     Net::HttpResponse response;
     response.status = answer.head.status;
     response.reason = answer.head.reason;
@@ -558,7 +562,7 @@
             response.fields.push_back(std::move(field));
     }
     response.body = std::move(answer.body);
-    respond(response, "answered", {});
+    respond(std::move(response), "answered", {});
 }
 
 void Exchange::refuse(std::string_view reason, Core::Duration retryAfter)
@@ -574,7 +578,7 @@
     Net::HttpResponse response;
     response.status = statusUnavailable;
     response.fields.push_back({ "Retry-After", formatSeconds(std::max(retryAfter, Core::Duration::zero())) });
-    respond(response, "not-run", reason);
+    respond(std::move(response), "not-run", reason);
 }
 
 void Exchange::fail(std::uint16_t status, std::string_view reason)
@@ -583,7 +587,7 @@
         { { "request", metadata_.attemptId }, { "route", route_.value }, { "reason", reason }, { "status", status } });
     Net::HttpResponse response;
     response.status = status;
-    respond(response, "unknown", reason);
+    respond(std::move(response), "unknown", reason);
 }
 
 void Exchange::onDeadline()
@@ -628,11 +632,11 @@
             { "leftMs", Core::toMilliseconds(remainingTime()) } });
 }
 
-void Exchange::respond(Net::HttpResponse const& response, std::string_view outcome, std::string_view reason)
+void Exchange::respond(Net::HttpResponse response, std::string_view outcome, std::string_view reason)
 {
     gateway_.metrics_.countRequest(pool_, route_, outcome, reason, gateway_.loop_.now() - request_.startedAt);
     cancelTimers();
-    gateway_.finish(id_, response);
+    gateway_.finish(id_, std::move(response));
 }
 
 /// Prevents the timers and the reservation from calling back: a finished exchange is destroyed only at the end of the
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -69,7 +69,7 @@
     void refuse(std::string_view reason, Core::Duration retryAfter);
     void fail(std::uint16_t status, std::string_view reason);
     /// Answers the caller and ends the exchange. `outcome` and `reason` are labels of the request metrics.
-    void respond(Net::HttpResponse const&, std::string_view outcome, std::string_view reason);
+    void respond(Net::HttpResponse, std::string_view outcome, std::string_view reason);
     void cancelTimers();
     Core::Duration remainingTime() const { return deadline_ - gateway_.loop_.now(); }
     bool isSafe() const { return kind_ == Fleet::RequestKind::Safe; }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -16,6 +16,11 @@
     /// Memory limit for the bodies of requests, and of answers that are being read or sent. A host may have only 160
     /// MB.
     constexpr std::uint64_t maxHeldBodyBytes = 96UL * 1024 * 1024;
+    /// Memory limit for the answers that callers have not taken yet. Together with those that are being read, they
+    /// take no more than all bodies may.
+    constexpr std::uint64_t maxUnsentAnswerBytes = 72UL * 1024 * 1024;
+    /// Smaller answers are never given up for lack of memory.
+    constexpr std::size_t minBoundedAnswerBytes = 64UL * 1024;
     constexpr std::size_t maxSuspicions = 1000;
 
 } // namespace
@@ -96,7 +101,7 @@
         Net::HttpResponse response;
         response.status = 503;
         response.fields.push_back({ "Retry-After", "0.5" });
-        server_->respond(id, response);
+        server_->respond(id, std::move(response));
         return;
     }
     auto exchange = std::make_unique<Exchange>(*this, id, std::move(request));
@@ -127,9 +132,14 @@
     server_->closeAll();
 }
 
-void Gateway::finish(Net::ExchangeId id, Net::HttpResponse const& response)
+bool Gateway::hasRoomForAnswer(std::size_t bytes)
 {
-    server_->respond(id, response);
+    return bytes < minBoundedAnswerBytes || server_->unsentAnswerBytes() + bytes <= maxUnsentAnswerBytes;
+}
+
+void Gateway::finish(Net::ExchangeId id, Net::HttpResponse response)
+{
+    server_->respond(id, std::move(response));
     auto node = exchanges_.extract(id);
     if (!node.empty())
         loop_.reclaim(std::move(node.mapped()));
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -61,6 +61,8 @@
     std::size_t heldAnswerBytes() { return serverConnections_.heldAnswerBytes() + server_->unsentAnswerBytes(); }
     /// Closes all connections, and logs each unfinished request and each truncated answer.
     void closeAll();
+    /// Whether an answer of this size may be held until its caller has taken it.
+    bool hasRoomForAnswer(std::size_t bytes);
     /// Returns the load statistics and crash suspicions since the last report, and resets them.
     Fleet::LoadReport takeReport();
 
@@ -70,7 +72,7 @@
     void onRequest(Net::ExchangeId, Net::HttpRequest) override;
     void onAbandoned(Net::ExchangeId) override;
     void onAnswerCutOff(Net::ExchangeId, std::size_t unsentBytes) override;
-    void finish(Net::ExchangeId, Net::HttpResponse const&);
+    void finish(Net::ExchangeId, Net::HttpResponse);
     /// Calls the function for each exchange. The function may end the exchange.
     void forEachExchange(std::function<void(Exchange&)> const&);
     ServerLoad& loadOf(Fleet::ServerRecord const&);
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -19,6 +19,8 @@
 
     /// Decoded at once from the input.
     constexpr std::size_t bodyChunkBytes = 16UL * 1024;
+    /// A body of this size is handed to the stream as it is. Smaller ones are sent with the head, in one call.
+    constexpr std::size_t minOwnedBodyBytes = 64UL * 1024;
     /// How long the rest of a refused request may take to arrive, once the answer is sent, before the connection is
     /// closed.
     constexpr Core::Duration lingerTimeout = std::chrono::seconds(1);
@@ -96,16 +98,16 @@
     {
         HttpResponse response;
         response.status = status;
-        writeResponse(response, true);
+        writeResponse(std::move(response), true);
         linger();
     }
 
-    void respond(std::uint64_t exchange, HttpResponse const& response)
+    void respond(std::uint64_t exchange, HttpResponse response)
     {
         if (phase_ != Phase::Answer || exchange != exchange_)
             return;
         auto const closes = response.closes || server_.isDraining_ || !keepsAlive_;
-        writeResponse(response, closes);
+        writeResponse(std::move(response), closes);
         releaseBody();
         if (closes) {
             linger();
@@ -237,7 +239,7 @@
         restartTimer(lingerTimeout);
     }
 
-    void writeResponse(HttpResponse const& response, bool closes)
+    void writeResponse(HttpResponse response, bool closes)
     {
         std::string text = "HTTP/1.1 ";
         text.append(std::to_string(response.status)).append(" ");
@@ -249,10 +251,14 @@
         if (closes)
             Proxy::appendField(text, "Connection", "close");
         text.append("\r\n");
-        if (mayHaveBody(response.status) && !isHeadRequest())
+        auto const hasBody = mayHaveBody(response.status) && !isHeadRequest();
+        auto const isLarge = response.body.size() >= minOwnedBodyBytes;
+        if (hasBody && !isLarge)
             text.append(response.body);
         sendsUntil_ = server_.loop_.now() + maxSendTime;
         stream_.write(text);
+        if (hasBody && isLarge)
+            stream_.writeOwned(std::move(response.body));
         if (stream_.pendingBytes() > 0)
             server_.sending_.insert(id_);
     }
@@ -339,11 +345,11 @@
     loop_.reclaim(std::move(node.mapped()));
 }
 
-void HttpServer::respond(ExchangeId id, HttpResponse const& response)
+void HttpServer::respond(ExchangeId id, HttpResponse response)
 {
     auto const found = connections_.find(id.connection);
     if (found != connections_.end())
-        found->second->respond(id.exchange, response);
+        found->second->respond(id.exchange, std::move(response));
 }
 
 std::uint64_t HttpServer::unsentAnswerBytes()
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -65,7 +65,7 @@
 
     void setLimits(HttpLimits const& limits) { limits_ = limits; }
     /// Does nothing if the caller is gone.
-    void respond(ExchangeId, HttpResponse const&);
+    void respond(ExchangeId, HttpResponse);
     /// From now on every answer closes its connection.
     void startDraining() { isDraining_ = true; }
     /// New connections are reset from now on.
--- a/Libraries/LibNet/Stream.cpp
+++ b/Libraries/LibNet/Stream.cpp
@@ -163,12 +163,7 @@
 {
     if (!isOpen())
         return;
-    if (isConnected_ && pendingBytes() == 0) {
-        auto const sent = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        // An error shows again as an event of the socket, where it is handled.
-        if (sent > 0)
-            bytes.remove_prefix(static_cast<std::size_t>(sent));
-    }
+    bytes.remove_prefix(sendAtOnce(bytes));
     if (bytes.empty())
         return;
     output_.append(bytes);
@@ -176,6 +171,32 @@
     updateInterest();
 }
 
+void Stream::writeOwned(std::string bytes)
+{
+    if (pendingBytes() > 0) {
+        write(bytes);
+        return;
+    }
+    if (!isOpen())
+        return;
+    auto const sent = sendAtOnce(bytes);
+    if (sent == bytes.size())
+        return;
+    output_ = std::move(bytes);
+    outputBegin_ = sent;
+    wantsWrite_ = true;
+    updateInterest();
+}
+
+std::size_t Stream::sendAtOnce(std::string_view bytes) const
+{
+    if (!isConnected_ || pendingBytes() > 0)
+        return 0;
+    auto const sent = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    // An error shows again as an event of the socket, where it is handled.
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+}
+
 void Stream::flush()
 {
     while (pendingBytes() > 0) {
--- a/Libraries/LibNet/Stream.h
+++ b/Libraries/LibNet/Stream.h
@@ -56,6 +56,8 @@
 
     Proxy::InputBuffer& input() { return input_; }
     void write(std::string_view);
+    /// Writes without a copy of what the kernel does not take at once, unless other bytes wait already.
+    void writeOwned(std::string);
     /// Bytes that the kernel has not taken yet.
     std::size_t pendingBytes() const { return output_.size() - outputBegin_; }
     bool isOpen() const { return fd_ >= 0; }
@@ -67,6 +69,8 @@
 
 private:
     void onIo(bool isReadable, bool isWritable) override;
+    /// Sends what the kernel takes, if nothing waits before it. Returns the number of bytes.
+    std::size_t sendAtOnce(std::string_view) const;
     void finishConnect();
     void receive();
     void flush();
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -66,6 +66,18 @@
 
     std::unique_ptr<Caller> connect() { return std::make_unique<Caller>(loop, address); }
 
+    /// Returns the socket of a caller that never reads.
+    int connectSilentCaller() const
+    {
+        auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in to {};
+        to.sin_family = AF_INET;
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        to.sin_port = htons(address.port);
+        BOOST_REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+        return fd;
+    }
+
     std::unique_ptr<Caller> ask(std::string const& request)
     {
         auto caller = connect();
@@ -549,16 +561,9 @@
     a.setScript([&](auto const& request) { return FakeServer::Reaction { answerTo(request, "200 OK", body) }; });
     std::vector<int> callers;
     for (std::size_t i = 0; i < callerCount; ++i) {
-        // This caller never reads.
-        auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
-        callers.push_back(fd);
-        sockaddr_in to {};
-        to.sin_family = AF_INET;
-        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        to.sin_port = htons(address.port);
-        BOOST_REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+        callers.push_back(connectSilentCaller());
         auto const text = request("/unsafe/x", std::to_string(i));
-        BOOST_REQUIRE(::send(fd, text.data(), text.size(), 0) > 0);
+        BOOST_REQUIRE(::send(callers.back(), text.data(), text.size(), 0) > 0);
         BOOST_REQUIRE(runUntil(loop, [&] { return a.requests().size() == i + 1 && gateway.requestCount() == 0; }));
     }
     BOOST_TEST(gateway.heldAnswerBytes() >= callerCount * (answerBytes - kernelBytes));
@@ -566,6 +571,45 @@
         ::close(fd);
 }
 
+// Report of issue 42: requests that were accepted while there was memory all kept their answers, however many there
+// were.
+BOOST_AUTO_TEST_CASE(AnswersThatCallersDoNotTakeAreBoundedTogether)
+{
+    constexpr std::size_t answerBytes = 15UL << 20;
+    constexpr int callerCount = 16;
+    constexpr std::size_t maxHeldBytes = 96UL << 20;
+    configure();
+    auto const body = std::string(answerBytes, 'b');
+    // One answer after the other, so that each is read whole.
+    auto delay = 0ms;
+    a.setScript([&](auto const& request) {
+        delay += 60ms;
+        return FakeServer::Reaction { answerTo(request, "200 OK", body), FakeServer::Reaction::Then::Keep, delay };
+    });
+    std::vector<int> callers;
+    for (int i = 0; i < callerCount; ++i) {
+        callers.push_back(connectSilentCaller());
+        auto const text = request("/safe/x", std::to_string(i));
+        BOOST_REQUIRE(::send(callers.back(), text.data(), text.size(), 0) > 0);
+    }
+    BOOST_REQUIRE(runUntil(loop, [&] { return gateway.requestCount() > 0; }));
+    std::size_t held = 0;
+    BOOST_TEST(runUntil(
+        loop,
+        [&] {
+            held = std::max(held, gateway.heldAnswerBytes());
+            return gateway.requestCount() == 0;
+        },
+        10s));
+    BOOST_TEST(held <= maxHeldBytes);
+    // Once callers are gone, requests are answered again.
+    for (auto const fd : callers)
+        ::close(fd);
+    a.setScript(answering("200 OK", "done"));
+    BOOST_TEST(runUntil(loop, [&] { return gateway.heldAnswerBytes() == 0; }));
+    BOOST_TEST(ask(request("/safe/x", "after"))->status() == "200");
+}
+
 // The connection was established late, and the deadline and the settle time expired in the same iteration of a loaded
 // event loop: the request was refused as not sent, and was then sent.
 BOOST_AUTO_TEST_CASE(ARequestThatWasRefusedAtItsDeadlineIsNotSentInTheSameLoopIteration)
