Return the memory of large bodies to the system

Cause: glibc raises the threshold above which it maps blocks one by one to the largest block that was freed, up to 32 MiB. From then on bodies came from one heap, which fragmented and did not shrink. Change: the platform roles fix both thresholds at 128 KiB.

--- a/Libraries/LibCore/Process.cpp
+++ b/Libraries/LibCore/Process.cpp
@@ -1,5 +1,7 @@
 #include <LibCore/Process.h>
 
+#include <malloc.h>
+
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
@@ -15,4 +17,12 @@
     std::quick_exit(exitCode);
 }
 
+void returnFreedMemoryAtOnce()
+{
+    constexpr int minBlockBytes = 128 * 1024;
+    // Setting either ends the adjustment of both.
+    ::mallopt(M_MMAP_THRESHOLD, minBlockBytes);
+    ::mallopt(M_TRIM_THRESHOLD, minBlockBytes);
+}
+
 } // namespace Core
