Use servers whose answers cannot be read last

What callers saw: with three of six servers of a pool without keys that send bytes that are no answer, 15 to 55 in 100 requests ended with 502 although the other three had room. Cause: a request without a readable answer counted for nothing in the choice of servers, and such a server seems fast. Change: after two such requests in a row an entry host uses the server after all others, for 0.4 to 3.2 s, until it answers. Owners of keys are not affected: no other server can run their requests.

--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -309,10 +309,14 @@
         }
         auto const* const limited = gateway_.limitedServer(number);
         servers.push_back(&server);
-        candidates.push_back(
-            { load.expectedWait(now) + load.serviceTime(), server.record.domain == gateway_.settings_.failureDomain,
-                limited && load.expectedWait(now) == Core::Duration::zero()
-                    && limited->isShareDue(now, gateway_.shareOf(number)) });
+        auto const wait = load.expectedWait(now);
+        ServerCandidate candidate;
+        candidate.expectedLatency = wait + load.serviceTime();
+        candidate.isInSameDomain = server.record.domain == gateway_.settings_.failureDomain;
+        candidate.isPreferred
+            = limited && wait == Core::Duration::zero() && limited->isShareDue(now, gateway_.shareOf(number));
+        candidate.isFailing = load.isFailing(now);
+        candidates.push_back(candidate);
     }
     std::optional<Refusal> refusal;
     auto isLimited = false;
@@ -536,6 +540,8 @@
         dispatch();
         return;
     }
+    if (server)
+        gateway_.loadOf(server->record).onBrokenAnswer(now);
     gateway_.suspicions_.push_back({ fingerprint(), server_ });
     mayHaveRun_ = true;
     mayHaveRunAt_.insert(server_);
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -37,6 +37,7 @@
     };
     std::ranges::sort(begin, begin + static_cast<std::ptrdiff_t>(sampledLocal + sampledRemote), {}, cost);
     std::stable_partition(order.begin(), order.end(), [&](std::size_t index) { return candidates[index].isPreferred; });
+    std::stable_partition(order.begin(), order.end(), [&](std::size_t index) { return !candidates[index].isFailing; });
     return order;
 }
 
--- a/Libraries/LibGateway/ServerChoice.h
+++ b/Libraries/LibGateway/ServerChoice.h
@@ -16,6 +16,8 @@
     bool isInSameDomain { false };
     /// Whether the server is tried before all others.
     bool isPreferred { false };
+    /// Whether the server is tried after all others, since its last answers could not be read.
+    bool isFailing { false };
 };
 
 /// Determines the order in which the servers of a pool without keys are tried.
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -17,6 +17,10 @@
     constexpr double maxOccupancyPerSlot = 4.0;
     constexpr Core::Duration firstAvoidance = std::chrono::milliseconds(200);
     constexpr std::uint32_t maxDoublings = 3;
+    /// Requests without a readable answer in a row after which a server is used last. A sound server may lose a single
+    /// connection.
+    constexpr std::uint32_t maxBrokenAnswers = 2;
+    constexpr Core::Duration firstFailingTime = std::chrono::milliseconds(400);
     /// Misdirected answers in a row after which a server is avoided. One or two occur while a key is being moved.
     constexpr std::uint32_t maxMisdirected = 3;
 
@@ -60,8 +64,17 @@
     ++failures_;
 }
 
+void ServerLoad::onBrokenAnswer(Core::TimePoint now)
+{
+    if (++brokenAnswers_ < maxBrokenAnswers)
+        return;
+    failingUntil_ = now + firstFailingTime * (1U << std::min(brokenAnswers_ - maxBrokenAnswers, maxDoublings));
+}
+
 void ServerLoad::onReachable()
 {
+    brokenAnswers_ = 0;
+    failingUntil_ = {};
     failures_ = 0;
     misdirected_ = 0;
 }
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -39,6 +39,11 @@
     /// answers in a row the addressed server has probably exited, and its address belongs to another one.
     void onMisdirected(Core::TimePoint now);
 
+    /// Records that a request was sent and no readable answer came. Servers without keys are used last after several
+    /// such requests in a row.
+    void onBrokenAnswer(Core::TimePoint now);
+    bool isFailing(Core::TimePoint now) const { return now < failingUntil_; }
+
     bool isUnreachable(Core::TimePoint now) const { return now < avoidUntil_; }
     Core::TimePoint avoidUntil() const { return avoidUntil_; }
     std::uint32_t inFlight() const { return inFlight_; }
@@ -64,6 +69,8 @@
     std::uint32_t failures_ { 0 };
     std::uint32_t misdirected_ { 0 };
     Core::TimePoint avoidUntil_;
+    std::uint32_t brokenAnswers_ { 0 };
+    Core::TimePoint failingUntil_;
 };
 
 } // namespace Gateway
