Log entry hosts that lack a change of the configuration

Entry hosts report their revision; the leader logs those that have lacked a change for more than 1.5 s, with the bytes that wait for them (event 320), and counts them in a metric. A host on a slow link that stays connected was not tried.

--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -14,6 +14,9 @@
     /// writes on a host with 0.3 of a core, and heartbeats of hundreds of servers cause changes all the time.
     constexpr Core::Duration publishDelay = std::chrono::milliseconds(30);
     constexpr Core::Duration metricsInterval = std::chrono::seconds(1);
+    /// The time after which an entry host without a change is logged. Hosts report twice a second, and the platform
+    /// allows 2 s until a change is in force everywhere.
+    constexpr Core::Duration maxRevisionLag = std::chrono::milliseconds(1500);
     constexpr Core::Duration joinInterval = std::chrono::milliseconds(250);
     /// The time without a leader, two election timeouts, after which a member sends a join request, since it may have
     /// been removed from the group.
@@ -206,7 +209,8 @@
 
 void ControlHost::onClosed(Net::FrameChannel& channel)
 {
-    entryChannels_.erase(&channel);
+    if (auto const entry = entryChannels_.extract(&channel))
+        revisions_.onLeave(entry.mapped());
     for (auto found = outgoing_.begin(); found != outgoing_.end(); ++found) {
         if (found->second.get() != &channel)
             continue;
@@ -241,7 +245,7 @@
         return;
     case FrameType::Report:
         if (auto const report = Fleet::decode<Fleet::LoadReport>(payload))
-            onReport(*report);
+            onReport(channel, *report);
         return;
     case FrameType::Leader:
         if (auto const hint = Fleet::decode<LeaderHint>(payload))
@@ -279,6 +283,7 @@
     publish();
     channel.send(makeFrame(FrameType::Leader, hint()));
     entryChannels_[&channel] = hello.entryHost;
+    revisions_.onJoin(hello.entryHost, hello.itemRevision, loop_.now());
     events_.write(EventId::EntryHostJoined, { { "entry", hello.entryHost } });
     channel.send(fullUpdateFrame(hello.itemRevision));
 }
@@ -295,10 +300,28 @@
 
 void ControlHost::onHint(LeaderHint const& hint) { hintedLeader_ = hint.leader; }
 
-void ControlHost::onReport(Fleet::LoadReport const& report)
+void ControlHost::onReport(Net::FrameChannel& channel, Fleet::LoadReport const& report)
 {
-    if (coordinator_)
-        coordinator_->onLoadReport(loop_.now(), report);
+    if (!coordinator_)
+        return;
+    coordinator_->onLoadReport(loop_.now(), report);
+    auto const sender = entryChannels_.find(&channel);
+    if (sender != entryChannels_.end())
+        revisions_.onReport(sender->second, report.itemRevision);
+}
+
+void ControlHost::reportEntryHostsBehind()
+{
+    auto const behind = revisions_.behind(loop_.now(), maxRevisionLag);
+    metrics_.setEntryHostsBehind(behind.size());
+    for (auto const& host : behind) {
+        auto const channel
+            = std::ranges::find(entryChannels_, host.entryHost, [](auto const& entry) { return entry.second; });
+        events_.write(EventId::EntryHostBehind,
+            { { "entry", host.entryHost }, { "revision", host.revision },
+                { "current", replica_.state().itemRevision() }, { "behindMs", Core::toMilliseconds(host.time) },
+                { "unsentBytes", channel == entryChannels_.end() ? 0 : channel->first->pendingBytes() } });
+    }
 }
 
 /// Without the authority of a quorum there is no answer, since another leader may grant reservations already.
@@ -316,6 +339,8 @@
     if (!coordinator_)
         return;
     logChanges(command, applied);
+    if (applied.hasChangedItems)
+        revisions_.onChange(replica_.state().itemRevision(), loop_.now());
     coordinator_->onApplied(loop_.now(), command, applied);
     Fleet::addChanges(update_, replica_.state(), *coordinator_, command, applied, loop_.now());
     publishSoon();
@@ -355,6 +380,7 @@
 {
     update_ = {};
     fullUpdateFrames_.clear();
+    revisions_ = {};
     if (isLeading) {
         coordinator_ = std::make_unique<Fleet::Coordinator>(replica_.state(), settings_.coordinator, loop_.now());
         leadingSince_ = loop_.now();
@@ -494,6 +520,7 @@
     metrics_.setStorageSound(replica_.isStorageSound());
     metrics_.setRaft(status.term.value, status.commitIndex.value, isLeader, status.leader.has_value());
     metrics_.clearRequestLimits();
+    reportEntryHostsBehind();
     if (coordinator_) {
         for (auto const& row : coordinator_->allRequestLimits(loop_.now())) {
             if (auto const* const server = replica_.state().findServer(row.server))
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -4,6 +4,7 @@
 #include <LibControlHost/Frames.h>
 #include <LibControlHost/MembershipPlan.h>
 #include <LibControlHost/Replica.h>
+#include <LibFleet/EntryHostRevisions.h>
 #include <LibFleet/View.h>
 #include <LibNet/FrameChannel.h>
 #include <LibTelemetry/Metrics.h>
@@ -64,7 +65,9 @@
     void accept(int fd);
     void onHello(Net::FrameChannel&, Hello const&);
     void onJoin(Net::FrameChannel&, JoinRequest const&);
-    void onReport(Fleet::LoadReport const&);
+    void onReport(Net::FrameChannel&, Fleet::LoadReport const&);
+    /// Logs the entry hosts that lack a change of the configuration items.
+    void reportEntryHostsBehind();
     void onReservationRequest(Net::FrameChannel&, Fleet::ReservationRequest const&);
     void publishRequestLimits();
     void logChanges(Fleet::Command const&, Fleet::ApplyResult const&);
@@ -98,6 +101,7 @@
     std::vector<std::unique_ptr<Net::FrameChannel>> incoming_;
     /// The names of the connected entry hosts by channel.
     std::map<Net::FrameChannel*, std::string> entryChannels_;
+    Fleet::EntryHostRevisions revisions_;
     /// When each entry host was last connected. A disconnected entry host still has a share of the limits for a while.
     std::map<std::string, Core::TimePoint> entryHosts_;
     std::vector<std::string> publishedEntryHosts_;
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -95,6 +95,8 @@
     std::vector<RequestLimitRow> requestLimits;
     /// The servers that said in an answer that they leave.
     std::vector<ServerNumber> leaving;
+    /// The revision of the configuration items that the entry host has; zero if it does not say.
+    std::uint64_t itemRevision { 0 };
 
     bool isEmpty() const
     {
@@ -106,9 +108,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Suspicion, fingerprint, server)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Contact, server, answers, refusals)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Occupancy, server, reports, requests)
-// An entry host of an earlier version sends no occupancies, request limits or leaving servers.
+// An entry host of an earlier version sends only the first of these.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    LoadReport, arrivals, contacts, latencies, suspicions, occupancies, requestLimits, leaving)
+    LoadReport, arrivals, contacts, latencies, suspicions, occupancies, requestLimits, leaving, itemRevision)
 
 /// The owner to which entry hosts send requests for a key range. While there is no owner, they queue or reject
 /// requests.
--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -57,8 +57,9 @@
 {
     reportTimer_ = loop_.after(reportInterval, [this] { sendReport(); });
     auto const report = gateway_.takeReport();
-    if (!report.isEmpty())
+    if (!report.isEmpty() || report.itemRevision != reportedRevision_)
         leaderConnection_.report(report);
+    reportedRevision_ = report.itemRevision;
     events_.reportSuppressed();
 }
 
--- a/Libraries/LibGateway/EntryHost.h
+++ b/Libraries/LibGateway/EntryHost.h
@@ -55,6 +55,8 @@
     LeaderConnection leaderConnection_;
     bool isStopping_ { false };
     Core::TimePoint stopBegan_;
+    /// The revision of the configuration items that was last reported to a leader.
+    std::uint64_t reportedRevision_ { 0 };
     Net::EventLoop::TimerId reportTimer_;
     Net::EventLoop::TimerId stopTimer_;
 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -317,6 +317,7 @@
 Fleet::LoadReport Gateway::takeReport()
 {
     Fleet::LoadReport report;
+    report.itemRevision = view_.itemRevision();
     for (auto const& [where, count] : arrivals_) {
         if (report.arrivals.empty() || report.arrivals.back().pool != where.first)
             report.arrivals.push_back({ where.first, {} });
--- a/Libraries/LibTelemetry/Event.h
+++ b/Libraries/LibTelemetry/Event.h
@@ -57,6 +57,7 @@
     QuarantineLifted = 317,
     RequestLimitStated = 318,
     RequestLimitEnded = 319,
+    EntryHostBehind = 320,
     // Entry host: 400 to 499.
     ViewApplied = 400,
     ViewLeaseLost = 401,
--- a/Libraries/LibTelemetry/Metrics.cpp
+++ b/Libraries/LibTelemetry/Metrics.cpp
@@ -85,6 +85,8 @@
     Family<Gauge>& raftLeader = gauge(r, "primroseshift_raft_leader", "Whether this host is the control leader.");
     Family<Gauge>& raftQuorum = gauge(
         r, "primroseshift_raft_quorum", "Whether this host reaches a majority, as leader or through the leader.");
+    Family<Gauge>& entryHostsBehind = gauge(r, "primroseshift_entry_hosts_behind",
+        "Entry hosts that lack a change of the configuration made some time ago.");
     Family<Gauge>& storageSound
         = gauge(r, "primroseshift_storage_sound", "Whether the disk of this host accepts writes.");
     Family<Counter>& elections = counter(r, "primroseshift_elections_total", "Elections this host started.");
@@ -272,6 +274,11 @@
 
 void Metrics::setStorageSound(bool isSound) { families_->set(families_->storageSound, {}, isSound ? 1 : 0); }
 
+void Metrics::setEntryHostsBehind(std::uint64_t entryHosts)
+{
+    families_->set(families_->entryHostsBehind, {}, static_cast<double>(entryHosts));
+}
+
 void Metrics::countElection() { families_->add(families_->elections, {}, 1); }
 void Metrics::observeCommit(Core::Duration duration) { families_->observe(families_->commitSeconds, {}, duration); }
 void Metrics::observeSync(Core::Duration duration) { families_->observe(families_->syncSeconds, {}, duration); }
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -56,6 +56,8 @@
     void setInEffectRevision(Core::Revision);
     void setStorageSound(bool);
     void setRaft(std::uint64_t term, std::uint64_t commitIndex, bool isLeader, bool hasQuorum);
+    /// The entry hosts that lack a change of the configuration, as the control leader knows.
+    void setEntryHostsBehind(std::uint64_t entryHosts);
     void countElection();
     void observeCommit(Core::Duration);
     void observeSync(Core::Duration);
--- a/Tests/LibTelemetry/TestMetrics.cpp
+++ b/Tests/LibTelemetry/TestMetrics.cpp
@@ -48,6 +48,7 @@
     metrics.setRequestLimit(pool, { "s1" }, 5.4);
     metrics.countUnreadableLimit(pool);
     metrics.countSilence(pool);
+    metrics.setEntryHostsBehind(2);
     metrics.countShed(pool, "overloaded");
     metrics.countRetry(pool);
     metrics.countHedge(pool, true);
