--- a/Libraries/LibCore/Process.cpp
+++ b/Libraries/LibCore/Process.cpp
@@ -21,8 +21,10 @@
 {
     constexpr int minBlockBytes = 128 * 1024;
     // Setting either ends the adjustment of both.
+    // NOLINTBEGIN(concurrency-mt-unsafe): one thread so far
     ::mallopt(M_MMAP_THRESHOLD, minBlockBytes);
     ::mallopt(M_TRIM_THRESHOLD, minBlockBytes);
+    // NOLINTEND(concurrency-mt-unsafe)
 }
 
 } // namespace Core
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -171,7 +171,7 @@
         return std::nullopt;
     Workspaces sent;
     applyTo(sent, change);
-    if (auto const shared = Fleet::findSharedApiKey(sent))
+    if (auto shared = Fleet::findSharedApiKey(sent))
         return shared;
     auto after = workspaces_;
     return applyTo(after, change) ? Fleet::findSharedApiKey(after) : std::nullopt;
