Reserve sends to limited servers without keys with the leader

Cause: servers without keys had fixed shares only. The replays checked falls for owners only.

Change: sends to these servers are reserved with the leader too, which spaces them. They are not waited for, unless all servers of the pool name limits. The shares only decide which hosts ask. The leader also counts what it granted before a fall of the limit. A host that gets no answer uses its share of half of the limit, and does not ask again for a second.

--- a/Libraries/LibFleet/RequestLimits.cpp
+++ b/Libraries/LibFleet/RequestLimits.cpp
@@ -13,6 +13,15 @@
     /// The lowest rate of requests per second to a limited server. An entry host learns only from an answer that the
     /// server no longer names a limit, also if that limit is zero.
     constexpr double minRate = 0.7;
+    /// The time for which the platform checks limits, and the time that a request may travel longer than another one or
+    /// be sent after its reserved time.
+    constexpr Core::Duration checkedWindow = std::chrono::milliseconds(4250);
+    /// The most that is sent within the window, in seconds of the limit, and in requests besides. The platform allows
+    /// 6 s and five requests; requests that were reserved before a fall of the limit was known use the rest.
+    constexpr double maxWindowSeconds = 6;
+    constexpr std::size_t minInWindow = 3;
+    /// Limits above this many requests per second count as this many.
+    constexpr double maxLimit = 1e6;
     /// The smallest relative change of a limit that entry hosts are told.
     constexpr double minRelativeChange = 0.05;
     /// The time for which a server gets ranges again after it has named a limit.
@@ -41,13 +50,18 @@
         now - std::chrono::milliseconds(row.latestAgoMs) };
 }
 
-Reservation SendSchedule::reserve(Core::TimePoint now, Core::Duration patience, double perSecond)
+Reservation SendSchedule::reserve(Core::TimePoint now, Core::Duration patience, SendRate const& rate)
 {
-    auto const interval = std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(1 / perSecond));
-    auto const next = std::max(now, latest_ + interval);
+    auto const interval = std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(1 / rate.perSecond));
+    while (!reserved_.empty() && now - reserved_.front() >= checkedWindow)
+        reserved_.pop_front();
+    auto next = std::max(now, latest_ + interval);
+    if (reserved_.size() >= rate.maxInWindow)
+        next = std::max(next, reserved_[reserved_.size() - rate.maxInWindow] + checkedWindow);
     if (next - now > patience)
         return { false, next - now };
     latest_ = next;
+    reserved_.push_back(next);
     return { true, next - now };
 }
 
@@ -83,7 +97,10 @@
     auto const rate = sendRateOf(number);
     if (!rate)
         return { true, {} };
-    return servers_[number].schedule->reserve(now, patience, *rate);
+    auto& server = servers_[number];
+    auto const limit = std::min(*server.limit.perSecond(), maxLimit);
+    auto const maxInWindow = static_cast<std::size_t>(limit * maxWindowSeconds) + minInWindow;
+    return server.schedule->reserve(now, patience, { *rate, maxInWindow });
 }
 
 std::vector<RequestLimitRow> RequestLimits::takeChanges(Core::TimePoint now)
--- a/Libraries/LibFleet/RequestLimits.h
+++ b/Libraries/LibFleet/RequestLimits.h
@@ -3,6 +3,7 @@
 #include <LibFleet/Model.h>
 #include <LibFleet/RequestLimit.h>
 
+#include <deque>
 #include <map>
 
 namespace Fleet {
@@ -28,6 +29,14 @@
     Core::Duration wait {};
 };
 
+/// The rate of requests to a server that names a limit.
+struct SendRate {
+    double perSecond { 0 };
+    /// The number of requests in any time as long as the window for which the platform checks limits. Binds only after
+    /// the limit has fallen.
+    std::size_t maxInWindow { 0 };
+};
+
 /// Spaces the requests of all entry hosts to one backend server evenly, so that the rate holds over any interval.
 class SendSchedule {
 public:
@@ -38,11 +47,13 @@
     }
 
     /// Reserves the next free time if it is at most `patience` away.
-    Reservation reserve(Core::TimePoint now, Core::Duration patience, double perSecond);
+    Reservation reserve(Core::TimePoint now, Core::Duration patience, SendRate const&);
 
 private:
     /// The latest time that was reserved.
     Core::TimePoint latest_;
+    /// The reserved times within the last window.
+    std::deque<Core::TimePoint> reserved_;
 };
 
 /// The request rate limits of all backend servers as the control leader knows them, and the reservations within them.
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -201,7 +201,7 @@
     auto const* const limited = gateway_.limitedServer(server->record.number);
     if (limited && !isReserved) {
         if (!refuseForLoad(*server))
-            reserveSend(*server, *limited);
+            reserveSendToOwner(*server, *limited);
         return;
     }
     if (!gateway_.tryAcquireColdSend(*server, pool)) {
@@ -224,20 +224,39 @@
     return true;
 }
 
-void Exchange::reserveSend(Fleet::ViewServer const& server, ServerBackpressure const& limited)
+void Exchange::reserveSendToOwner(Fleet::ViewServer const& server, ServerBackpressure const& limited)
 {
-    auto const number = server.record.number;
-    auto const now = gateway_.loop_.now();
     auto const patience = Admission::maxReservationWait(admissionQuery(), gateway_.loadOf(server.record));
-    if (auto const wait = limited.refusedFor(now, patience)) {
-        refuseForLimit(limited, *wait);
-        return;
-    }
-    reservation_ = gateway_.reservations_.request(Fleet::toRow(number, limited.newestStatement(), now), patience,
-        [this, number, patience](auto const& reservation) {
-            reservation_ = 0;
-            onReservation(number, patience, reservation);
-        });
+    if (auto const wait = limited.refusedFor(gateway_.loop_.now(), patience))
+        refuseForLimit(server.record.number, *wait);
+    else
+        requestReservation(server.record.number, limited, patience);
+}
+
+Exchange::LimitedSend Exchange::tryLimitedSend(
+    Fleet::ServerNumber number, ServerBackpressure& limited, Core::Duration patience)
+{
+    auto const now = gateway_.loop_.now();
+    auto const share = gateway_.shareOf(number);
+    if (gateway_.reservations_.isLeaderSilent())
+        return limited.tryAcquireLeaderlessShare(now, share) ? LimitedSend::Allowed : LimitedSend::Refused;
+    // A request that need not wait for this server is a reason to ask only for the hosts whose share has room, which
+    // bounds the number of messages.
+    auto const mayAsk = patience > Core::Duration::zero() || limited.hasShare(now, share);
+    if (!mayAsk || notReserved_.contains(number) || limited.refusedFor(now, patience))
+        return LimitedSend::Refused;
+    requestReservation(number, limited, patience);
+    return LimitedSend::Awaited;
+}
+
+void Exchange::requestReservation(
+    Fleet::ServerNumber number, ServerBackpressure const& limited, Core::Duration patience)
+{
+    auto const row = Fleet::toRow(number, limited.newestStatement(), gateway_.loop_.now());
+    reservation_ = gateway_.reservations_.request(row, patience, [this, number, patience](auto const& reservation) {
+        reservation_ = 0;
+        onReservation(number, patience, reservation);
+    });
 }
 
 void Exchange::onReservation(
@@ -251,15 +270,12 @@
         return;
     }
     if (!reservation) {
-        if (limited->tryAcquireLeaderlessShare(now, gateway_.shareOf(number)))
-            useReservation(number, now);
-        else
-            refuseForLimit(*limited, defaultRetryAfter);
+        onReservationUnanswered(number, *limited);
         return;
     }
     if (!reservation->isGranted) {
         limited->onRefused(now, patience, reservation->wait);
-        refuseForLimit(*limited, reservation->wait);
+        onNotReserved(number, reservation->wait);
         return;
     }
     limited->recordSend(now);
@@ -269,19 +285,40 @@
     });
 }
 
+void Exchange::onReservationUnanswered(Fleet::ServerNumber number, ServerBackpressure& limited)
+{
+    auto const now = gateway_.loop_.now();
+    if (limited.tryAcquireLeaderlessShare(now, gateway_.shareOf(number)))
+        useReservation(number, now);
+    else
+        onNotReserved(number, defaultRetryAfter);
+}
+
 void Exchange::useReservation(Fleet::ServerNumber number, Core::TimePoint reservedFor)
 {
     if (gateway_.loop_.now() - reservedFor > maxReservationDelay) {
-        refuse("owner-limited", defaultRetryAfter);
+        onNotReserved(number, defaultRetryAfter);
         return;
     }
     reservedServer_ = number;
     dispatch();
 }
 
-void Exchange::refuseForLimit(ServerBackpressure const& limited, Core::Duration wait)
+void Exchange::onNotReserved(Fleet::ServerNumber number, Core::Duration wait)
 {
-    auto const perSecond = std::max(limited.requestLimit().value_or(0), minAssumedLimit);
+    auto const* const pool = gateway_.view_.findPool(pool_);
+    if (pool && pool->isKeyDivided) {
+        refuseForLimit(number, wait);
+        return;
+    }
+    notReserved_.insert(number);
+    dispatch();
+}
+
+void Exchange::refuseForLimit(Fleet::ServerNumber number, Core::Duration wait)
+{
+    auto const* const limited = gateway_.limitedServer(number);
+    auto const perSecond = std::max(limited ? limited->requestLimit().value_or(0) : 0, minAssumedLimit);
     auto const interval = std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double>(1 / perSecond));
     refuse("owner-limited", Admission::retryAfter(wait, interval, gateway_.random_.unit()));
 }
@@ -294,9 +331,11 @@
 void Exchange::dispatchToAnyServer(Fleet::PoolItem const& pool)
 {
     auto const now = gateway_.loop_.now();
+    auto const reservedServer = std::exchange(reservedServer_, 0);
     std::vector<Fleet::ViewServer const*> servers;
     std::vector<ServerCandidate> candidates;
     std::optional<Core::Duration> shortestSilence;
+    auto areAllLimited = true;
     for (auto const& [number, server] : gateway_.view_.servers()) {
         if (server.record.pool != pool_ || !gateway_.mayServe(server.record))
             continue;
@@ -308,13 +347,17 @@
             continue;
         }
         auto const* const limited = gateway_.limitedServer(number);
+        areAllLimited = areAllLimited && limited;
         servers.push_back(&server);
         auto const wait = load.expectedWait(now);
         ServerCandidate candidate;
         candidate.expectedLatency = wait + load.serviceTime();
         candidate.isInSameDomain = server.record.domain == gateway_.settings_.failureDomain;
-        candidate.isPreferred
-            = limited && wait == Core::Duration::zero() && limited->isShareDue(now, gateway_.shareOf(number));
+        if (reservedServer != 0)
+            candidate.isPreferred = number == reservedServer;
+        else
+            candidate.isPreferred
+                = limited && wait == Core::Duration::zero() && limited->isShareDue(now, gateway_.shareOf(number));
         candidate.isFailing = load.isFailing(now);
         candidates.push_back(candidate);
     }
@@ -332,9 +375,18 @@
         if (!mayRunAt(number))
             continue;
         auto* const limited = gateway_.limitedServer(number);
-        if (limited && !limited->tryAcquireShare(now, gateway_.shareOf(number))) {
-            isLimited = true;
-            continue;
+        if (limited && number != reservedServer) {
+            // Another server that names no limit runs the request sooner than this one after a wait.
+            auto const patience = areAllLimited
+                ? Admission::maxReservationWait(admissionQuery(), gateway_.loadOf(server.record))
+                : Core::Duration::zero();
+            auto const send = tryLimitedSend(number, *limited, patience);
+            if (send == LimitedSend::Awaited)
+                return;
+            if (send == LimitedSend::Refused) {
+                isLimited = true;
+                continue;
+            }
         }
         if (gateway_.tryAcquireColdSend(server, pool) && trySend(server, pool))
             return;
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -39,14 +39,26 @@
     AdmissionQuery admissionQuery();
     /// Refuses the request if its server would answer it too late. Returns whether it did.
     bool refuseForLoad(Fleet::ViewServer const&);
-    /// Requests a reservation for a send to a server that names a limit.
-    void reserveSend(Fleet::ViewServer const&, ServerBackpressure const&);
-    /// `patience` is the longest wait that was requested.
+    /// Requests a reservation for a send to an owner that names a limit, or refuses the request.
+    void reserveSendToOwner(Fleet::ViewServer const&, ServerBackpressure const&);
+    enum class LimitedSend : std::uint8_t {
+        Allowed,
+        Refused,
+        /// A reservation was requested, and the request waits for it.
+        Awaited,
+    };
+    /// Asks whether the request may be sent to a server without keys that names a limit.
+    LimitedSend tryLimitedSend(Fleet::ServerNumber, ServerBackpressure&, Core::Duration patience);
+    /// `patience` is the longest wait for the send.
+    void requestReservation(Fleet::ServerNumber, ServerBackpressure const&, Core::Duration patience);
     void onReservation(Fleet::ServerNumber, Core::Duration patience, std::optional<Fleet::Reservation> const&);
+    void onReservationUnanswered(Fleet::ServerNumber, ServerBackpressure&);
     /// Sends the request, which was reserved for this time, unless that was too long ago.
     void useReservation(Fleet::ServerNumber, Core::TimePoint reservedFor);
-    /// `wait` is the time until the server may get the next request.
-    void refuseForLimit(ServerBackpressure const&, Core::Duration wait);
+    /// Refuses the request if only this server can run it, otherwise tries the others. `wait` is the time until the
+    /// server may get the next request.
+    void onNotReserved(Fleet::ServerNumber, Core::Duration wait);
+    void refuseForLimit(Fleet::ServerNumber, Core::Duration wait);
     void refuseForSilence(std::string_view reason, Core::Duration left);
     void logAdmission(Fleet::ViewServer const&, Refusal const&);
     /// Waits for a change of owner until `latest`, then refuses. Refuses immediately if the owner is expected after the
@@ -106,6 +118,8 @@
     Core::TimePoint ownerExpectedAt_;
     /// The servers that the request was sent to.
     std::set<Fleet::ServerNumber> triedServers_;
+    /// The servers to which the leader has granted no send of this request.
+    std::set<Fleet::ServerNumber> notReserved_;
     /// The servers that reported that they did not run the request.
     std::set<Fleet::ServerNumber> rejectedBy_;
     /// The servers that may have run the request.
--- a/Libraries/LibGateway/Reservations.cpp
+++ b/Libraries/LibGateway/Reservations.cpp
@@ -7,6 +7,8 @@
     /// The leader answers within a few milliseconds, and within a few hundred if a link is saturated. A reservation
     /// that takes longer would be used too late.
     constexpr Core::Duration replyTimeout = std::chrono::milliseconds(200);
+    /// How long an unanswered request counts as a sign that the leader is lost. An election takes about as long.
+    constexpr Core::Duration silenceTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -26,7 +28,10 @@
     auto const id = nextId_++;
     auto const isSent = transport_ && transport_->send({ id, limit, Core::toMilliseconds(patience) });
     auto const timeout = isSent ? replyTimeout : Core::Duration::zero();
-    auto const timer = loop_.after(timeout, [this, id] { finish(id, std::nullopt); });
+    auto const timer = loop_.after(timeout, [this, id] {
+        silentUntil_ = loop_.now() + silenceTime;
+        finish(id, std::nullopt);
+    });
     pending_[id] = { loop_.now() + replyTimeout, std::move(callback), timer };
     return id;
 }
@@ -45,6 +50,7 @@
     auto const found = pending_.find(reply.id);
     if (found == pending_.end())
         return;
+    silentUntil_ = {};
     // After a freeze of this host, replies are read that arrived long ago.
     if (loop_.now() >= found->second.expiresAt)
         finish(reply.id, std::nullopt);
--- a/Libraries/LibGateway/Reservations.h
+++ b/Libraries/LibGateway/Reservations.h
@@ -31,6 +31,8 @@
     /// Cancels a request that awaits its reservation. Does nothing for others.
     void cancel(std::uint64_t id);
     void onReply(Fleet::ReservationReply const&);
+    /// Whether the leader has not answered a request within the last second, and none since.
+    bool isLeaderSilent() const { return loop_.now() < silentUntil_; }
 
 private:
     struct Pending {
@@ -44,6 +46,7 @@
     Net::EventLoop& loop_;
     ReservationTransport* transport_ { nullptr };
     std::uint64_t nextId_ { 1 };
+    Core::TimePoint silentUntil_;
     std::map<std::uint64_t, Pending> pending_;
 };
 
--- a/Libraries/LibGateway/SendShareLimiter.cpp
+++ b/Libraries/LibGateway/SendShareLimiter.cpp
@@ -12,13 +12,17 @@
     return total / hosts + (isFirst ? 1 : 0);
 }
 
+bool SendShareLimiter::hasRoom(Core::TimePoint now, SendShare const& share) const
+{
+    auto const isInWindow = [&](Core::TimePoint sent) { return now - sent < window_; };
+    return static_cast<std::size_t>(std::ranges::count_if(sends_, isInWindow)) < share.allowed();
+}
+
 bool SendShareLimiter::tryAcquire(Core::TimePoint now, SendShare const& share)
 {
-    while (!sends_.empty() && now - sends_.front() >= window_)
-        sends_.pop_front();
-    if (sends_.size() >= share.allowed())
+    if (!hasRoom(now, share))
         return false;
-    sends_.push_back(now);
+    record(now);
     return true;
 }
 
--- a/Libraries/LibGateway/SendShareLimiter.h
+++ b/Libraries/LibGateway/SendShareLimiter.h
@@ -31,6 +31,8 @@
     {
     }
 
+    /// Whether the share allows a request now.
+    bool hasRoom(Core::TimePoint now, SendShare const&) const;
     /// Consumes one request of the share if the limit allows it now.
     bool tryAcquire(Core::TimePoint now, SendShare const&);
     /// Records a request that was sent without `tryAcquire`.
--- a/Libraries/LibGateway/ServerBackpressure.cpp
+++ b/Libraries/LibGateway/ServerBackpressure.cpp
@@ -72,9 +72,9 @@
     return share;
 }
 
-bool ServerBackpressure::tryAcquireShare(Core::TimePoint now, EntryHostShare const& host)
+bool ServerBackpressure::hasShare(Core::TimePoint now, EntryHostShare const& host) const
 {
-    return !limit_.perSecond() || shares_.tryAcquire(now, shareOf(host, sharedFraction, minShared));
+    return !limit_.perSecond() || shares_.hasRoom(now, shareOf(host, sharedFraction, minShared));
 }
 
 bool ServerBackpressure::isShareDue(Core::TimePoint now, EntryHostShare const& host) const
--- a/Libraries/LibGateway/ServerBackpressure.h
+++ b/Libraries/LibGateway/ServerBackpressure.h
@@ -14,9 +14,9 @@
 
 /// What one backend server has asked of its callers, and what this entry host may send to it for that reason.
 ///
-/// The limit of a server that owns keys is kept by reservations of the control leader. While the leader does not
-/// answer, and for servers without keys, which are not needed for any particular request, each entry host has a fixed
-/// share.
+/// The limit is kept by reservations of the control leader. While the leader does not answer, each entry host has a
+/// fixed share. A server without keys is not needed for any particular request, so that only hosts whose share has room
+/// reserve a send to it.
 class ServerBackpressure {
 public:
     /// Records what an answer to this entry host says.
@@ -64,13 +64,14 @@
     void onRefused(Core::TimePoint now, Core::Duration patience, Core::Duration wait);
     void recordSend(Core::TimePoint now) { shares_.record(now); }
 
-    /// Consumes a request of this host's share of the limit.
-    bool tryAcquireShare(Core::TimePoint now, EntryHostShare const&);
+    /// Whether this host's share of the limit has room for a request. The share only decides which hosts ask the leader
+    /// for a reservation: shares alone would let all hosts send at the same moment.
+    bool hasShare(Core::TimePoint now, EntryHostShare const&) const;
     /// Whether the next request of this host's share is due, if the share is used evenly over time. Such requests keep
     /// the server in use up to its limit and show whether it still names one.
     bool isShareDue(Core::TimePoint now, EntryHostShare const&) const;
-    /// The same as `tryAcquireShare` for the time without a leader. The share is smaller, since the reservations of the
-    /// last leader have used a part of the limit.
+    /// Consumes a request of this host's share for the time without a leader. The share is smaller, since the
+    /// reservations of the last leader have used a part of the limit.
     bool tryAcquireLeaderlessShare(Core::TimePoint now, EntryHostShare const&);
 
 private:
--- a/Tests/LibGateway/TestLimitedServers.cpp
+++ b/Tests/LibGateway/TestLimitedServers.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/// A control leader that answers each reservation request as the test says.
+/// A control leader that answers each reservation request as the test says, or as the limits allow.
 class FakeReservations final : public Gateway::ReservationTransport {
 public:
     FakeReservations(Net::EventLoop& loop, Gateway::Gateway& gateway)
@@ -16,7 +16,9 @@
     bool send(Fleet::ReservationRequest const& request) override
     {
         requests.push_back(request);
-        if (isAnswering)
+        if (isKeepingLimits)
+            loop_.post([=, this] { answerWithinLimits(request); });
+        else if (isAnswering)
             loop_.post([this] { answer(isGranting); });
         return isConnected;
     }
@@ -27,12 +29,23 @@
     std::vector<Fleet::ReservationRequest> requests;
     bool isConnected { true };
     bool isAnswering { false };
+    bool isKeepingLimits { false };
     bool isGranting { true };
     std::chrono::milliseconds wait { 0 };
 
 private:
+    void answerWithinLimits(Fleet::ReservationRequest const& request)
+    {
+        auto const now = loop_.now();
+        auto const server = request.limit.server;
+        limits_.update(server, Fleet::toStatement(request.limit, now), now);
+        auto const reservation = limits_.reserve(server, std::chrono::milliseconds(request.patienceMs), now);
+        gateway_.onReservation({ request.id, reservation.isGranted, Core::toMilliseconds(reservation.wait) });
+    }
+
     Net::EventLoop& loop_;
     Gateway::Gateway& gateway_;
+    Fleet::RequestLimits limits_;
 };
 
 /// A key-divided pool of one server, which names a limit, and a pool without keys of two servers.
@@ -220,18 +233,67 @@
 BOOST_AUTO_TEST_CASE(ALimitOfAServerWithoutKeysSendsItsRequestsToOthers)
 {
     tellLimits({ { 2, 0.0, 20, 10 } });
+    leader.isAnswering = true;
     for (int i = 0; i < 30; ++i)
         BOOST_TEST(ask("/any/x", std::to_string(i))->status() == "200");
     // The two hosts send three requests in four seconds to find out whether the limit of zero still holds.
     BOOST_TEST(limited.requests().size() <= 2);
     BOOST_TEST(!limited.requests().empty());
-    BOOST_TEST(leader.requests.empty());
+    BOOST_TEST(leader.requests.size() == limited.requests().size());
+}
+
+// Shares alone let all hosts send at the same moment.
+BOOST_AUTO_TEST_CASE(AServerWithoutKeysGetsNothingThatTheLeaderRefuses)
+{
+    tellLimits({ { 2, 60.0, 20, 10 } });
+    leader.isAnswering = true;
+    leader.isGranting = false;
+    leader.wait = 10s;
+    for (int i = 0; i < 30; ++i)
+        BOOST_TEST(ask("/any/x", std::to_string(i))->status() == "200");
+    BOOST_TEST(limited.requests().empty());
+    BOOST_TEST(unlimited.requests().size() == 30);
+    // A refusal holds for the requests of its time.
+    BOOST_TEST(leader.requests.size() == 1);
+    // Nobody waits for a send to a server that another one can replace.
+    BOOST_TEST(leader.requests.back().patienceMs == 0);
+}
+
+// Two hosts share half of each limit: 20 in four seconds, of which this host may send half. Only the first request
+// waits for the leader.
+BOOST_AUTO_TEST_CASE(WithoutALeaderServersWithoutKeysGetTheShareOnly)
+{
+    limited.setScript(answering("200 OK", "limited", "Limit: 10\r\n"));
+    unlimited.setScript(answering("200 OK", "limited too", "Limit: 10\r\n"));
+    tellLimits({ { 2, 10.0, 20, 10 }, { 3, 10.0, 20, 10 } });
+    auto const begin = Core::BootClock::now();
+    std::string status;
+    for (int i = 0; i < 40; ++i)
+        status = ask("/any/x", std::to_string(i))->status();
+    BOOST_TEST((Core::BootClock::now() - begin < 900ms));
+    BOOST_TEST(status == "503");
+    BOOST_TEST(limited.requests().size() == 10);
+    BOOST_TEST(unlimited.requests().size() == 10);
+    BOOST_TEST(leader.requests.size() == 1);
+}
+
+// Then each request counts, and a short wait is better than a refusal.
+BOOST_AUTO_TEST_CASE(IfAllServersNameLimitsARequestWaitsForItsSend)
+{
+    tellLimits({ { 2, 10.0, 20, 10 }, { 3, 10.0, 20, 10 } });
+    leader.isAnswering = true;
+    leader.wait = 150ms;
+    auto const sentAt = Core::BootClock::now();
+    BOOST_TEST(ask("/any/x", "1")->status() == "200");
+    BOOST_TEST((Core::BootClock::now() - sentAt >= 150ms));
+    BOOST_TEST(leader.requests.back().patienceMs > 0);
 }
 
 // All servers of the pool are used up.
 BOOST_AUTO_TEST_CASE(WithoutAServerThatTakesMoreARequestIsRefused)
 {
     unlimited.setScript(answering("200 OK", "limited", "Limit: 0\r\n"));
+    leader.isKeepingLimits = true;
     std::string status;
     for (int i = 0; i < 12; ++i)
         status = ask("/any/x", std::to_string(i))->status();
--- a/Tests/LibGateway/TestServerBackpressure.cpp
+++ b/Tests/LibGateway/TestServerBackpressure.cpp
@@ -14,12 +14,16 @@
 
 Core::TimePoint const start { 1000s };
 
-/// Replays, in virtual time, the requests for the keys of one server that names a limit. They come through many entry
-/// hosts, which reserve sends with the control leader while there is one.
+/// Replays, in virtual time, the requests for one server that names a limit. They come through many entry hosts, which
+/// reserve sends with the control leader while there is one.
 class LimitReplay {
 public:
     std::uint32_t hosts { 195 };
     double perSecond { 24 };
+    /// A server without keys: requests that it may not get run at others.
+    bool isKeyDivided { true };
+    /// The time between bursts of one request at each entry host; zero for none.
+    Core::Duration burstInterval {};
     /// The limit that the server names at this time of the replay.
     std::function<std::optional<double>(Core::Duration)> limit;
     /// A time without a leader. A new leader knows nothing of the old one.
@@ -48,6 +52,8 @@
                 report();
             if (random.unit() < perSecond * 0.005)
                 request(static_cast<std::size_t>(random.below(hosts)), random.below(20) * 1ms);
+            for (std::size_t host = 0; burstInterval > 0ms && time % burstInterval == 0ms && host < hosts; ++host)
+                request(host, random.below(20) * 1ms);
         }
     }
 
@@ -101,6 +107,10 @@
             send(host, transit);
             return;
         }
+        if (!isKeyDivided) {
+            requestAnyServer(host, transit);
+            return;
+        }
         if (backpressure.refusedFor(now_, patience))
             return;
         if (!leader_) {
@@ -120,6 +130,27 @@
         after(reservation.wait, [=, this] { send(host, transit); });
     }
 
+    /// A request that another server runs unless this one may get it at once.
+    void requestAnyServer(std::size_t host, Core::Duration transit)
+    {
+        auto& backpressure = hosts_[host];
+        if (!leader_) {
+            if (backpressure.tryAcquireLeaderlessShare(now_, shareOf(host)))
+                send(host, transit);
+            return;
+        }
+        if (!backpressure.hasShare(now_, shareOf(host)) || backpressure.refusedFor(now_, 0ms))
+            return;
+        leader_->update(0, Fleet::toStatement(Fleet::toRow(0, backpressure.newestStatement(), now_), now_), now_);
+        auto const reservation = leader_->reserve(0, 0ms, now_);
+        if (!reservation.isGranted) {
+            backpressure.onRefused(now_, 0ms, reservation.wait);
+            return;
+        }
+        backpressure.recordSend(now_);
+        send(host, transit);
+    }
+
     void send(std::size_t host, Core::Duration transit)
     {
         auto const sentAt = now_;
@@ -201,6 +232,32 @@
     }
 }
 
+// Load pattern: a pool without keys that has more requests than the server may get, with bursts in which all entry
+// hosts have a request at the same time. The limit falls just after such a burst.
+BOOST_AUTO_TEST_CASE(TheLimitOfAServerWithoutKeysHoldsAsItFallsAfterABurst)
+{
+    for (std::uint32_t const hosts : { 8U, 48U, 195U }) {
+        for (double const limit : { 2.0, 5.4 }) {
+            for (double const lower : { 0.0, 0.2 }) {
+                LimitReplay replay;
+                replay.hosts = hosts;
+                replay.perSecond = 200;
+                replay.isKeyDivided = false;
+                replay.burstInterval = 1300ms;
+                replay.limit = [=](auto time) { return from2s(time, time < 14350ms ? limit : lower); };
+                replay.run();
+                BOOST_TEST_CONTEXT(hosts << " entry hosts, limit " << limit << ", then " << lower)
+                {
+                    BOOST_TEST(replay.worstExcess(5s, 30s) <= 0);
+                    // Enough requests are sent to use the limit, and to notice its end.
+                    BOOST_TEST(static_cast<double>(replay.arrived(6s, 14s)) >= 0.5 * 8 * limit);
+                    BOOST_TEST(replay.arrived(18s, 30s) >= 4);
+                }
+            }
+        }
+    }
+}
+
 // A new leader knows neither the limit nor what the old one granted in the last seconds.
 BOOST_AUTO_TEST_CASE(TheLimitHoldsOverALossOfTheLeader)
 {
@@ -245,19 +302,25 @@
 
 // Load pattern: each entry host has enough requests for a pool without keys to use up the limit of one server by
 // itself.
-BOOST_AUTO_TEST_CASE(TheSharesOfAllEntryHostsKeepTheLimitInAnyFourSeconds)
+BOOST_AUTO_TEST_CASE(TheSendsToAServerWithoutKeysKeepTheLimitInAnyFourSeconds)
 {
     for (std::uint32_t const hosts : { 1U, 8U, 48U, 195U }) {
         for (double const limit : { 0.0, 0.2, 3.0, 5.4, 60.0 }) {
             std::vector<ServerBackpressure> backpressures(hosts);
             for (auto& backpressure : backpressures)
                 backpressure.onLeaderStatement({ limit, start, start });
+            Fleet::RequestLimits leader;
+            leader.update(0, { limit, start, start }, start);
             Core::Random random(hosts);
             std::vector<Core::TimePoint> sends;
             for (auto now = start; now < start + 20s; now += 20ms) {
                 for (std::uint32_t i = 0; i < hosts; ++i) {
-                    if (random.unit() < 0.5 && backpressures[i].tryAcquireShare(now, { hosts, i }))
-                        sends.emplace_back(now + random.below(20) * 1ms);
+                    if (random.unit() >= 0.5 || !backpressures[i].hasShare(now, { hosts, i }))
+                        continue;
+                    if (!leader.reserve(0, 0ms, now).isGranted)
+                        continue;
+                    backpressures[i].recordSend(now);
+                    sends.emplace_back(now + random.below(20) * 1ms);
                 }
             }
             std::ranges::sort(sends);
@@ -278,13 +341,14 @@
 BOOST_AUTO_TEST_CASE(AnEntryHostThatIsNotInTheListHasNoShare)
 {
     ServerBackpressure backpressure;
-    BOOST_TEST(backpressure.tryAcquireShare(start, { 8, std::nullopt }));
+    BOOST_TEST(backpressure.hasShare(start, { 8, std::nullopt }));
     backpressure.onAnswer({ 20.0, start, start + 1ms });
-    BOOST_TEST(!backpressure.tryAcquireShare(start + 1ms, { 8, std::nullopt }));
+    BOOST_TEST(!backpressure.hasShare(start + 1ms, { 8, std::nullopt }));
     BOOST_TEST(!backpressure.tryAcquireLeaderlessShare(start + 1ms, { 8, std::nullopt }));
     BOOST_TEST(!backpressure.isShareDue(start + 1ms, { 8, std::nullopt }));
     BOOST_TEST(backpressure.isShareDue(start + 1ms, { 8, 0 }));
-    BOOST_TEST(backpressure.tryAcquireShare(start + 1ms, { 8, 0 }));
+    BOOST_TEST(backpressure.hasShare(start + 1ms, { 8, 0 }));
+    backpressure.recordSend(start + 1ms);
     BOOST_TEST(!backpressure.isShareDue(start + 1ms, { 8, 0 }));
     BOOST_TEST(backpressure.isShareDue(start + 1s, { 8, 0 }));
 }
--- a/Tests/Processes/test_server_limits.py
+++ b/Tests/Processes/test_server_limits.py
@@ -21,6 +21,8 @@
 # Within this time after the end of a limit, the server is in use again. Which server of a pool without keys is chosen
 # depends on latencies, so only a part of its even share is expected there.
 RECOVERY_S = 12
+# Requests in one second that are a burst at a limit of 2 a second.
+BURST = 4
 
 
 class LimitedServer(Worker):
@@ -97,6 +99,7 @@
         await self.restart_entry()
         await self.freeze_entry()
         await asyncio.sleep(2)
+        await self.wait_for_burst()
         self.set_limit(0.2)
         await asyncio.sleep(5)
         self.set_limit(0)
@@ -104,6 +107,13 @@
         self.set_limit(None)
         await asyncio.sleep(RECOVERY_S)
 
+    async def wait_for_burst(self):
+        """A limit that falls just after a burst leaves the least room. Without bursts, it falls after one window."""
+        server = self.servers["plain"][0]
+        end = time.monotonic() + WINDOW_S
+        while time.monotonic() < end and server.count(time.monotonic() - 1, time.monotonic()) < BURST:
+            await asyncio.sleep(0.02)
+
     def is_counted(self, pool, entry, at):
         """Whether the rule counts a request from this entry host."""
         told = self.told.get((pool, entry))
