Refuse requests for moving keys at once while all servers are silent

The silence of servers was checked for a present owner only.

Change: a request for a key without an owner is refused at once if all servers of its pool are silent beyond the time at which the owner is expected, with the end of the first silence in Retry-After.

Result: the test AKeyWithoutAnOwnerIsRefusedAtOnceWhileAllServersAreSilent fails without the change (refused after the wait, Retry-After 0.25 s) and passes now.

--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -171,8 +171,13 @@
     auto const* const owner = gateway_.view_.findOwner(pool_, *metadata_.key);
     auto const* const server = owner ? gateway_.view_.findServer(owner->server) : nullptr;
     if (!server || !gateway_.mayServeKeys(*server)) {
-        auto const expectedAt = owner ? owner->expectedAt : gateway_.loop_.now() + defaultRetryAfter;
-        waitForOwner(expectedAt, expectedAt + ownerGrace);
+        auto const now = gateway_.loop_.now();
+        auto const expectedAt = owner ? owner->expectedAt : now + defaultRetryAfter;
+        // The next owner would be silent too.
+        if (auto const left = gateway_.poolSilenceLeft(pool_); now + left > expectedAt)
+            refuseForSilence("servers-silent", left);
+        else
+            waitForOwner(expectedAt, expectedAt + ownerGrace);
         return;
     }
     if (!mayRunAt(server->record.number)) {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -233,6 +233,16 @@
     return backpressure ? backpressure->silenceLeft(loop_.now()) : Core::Duration::zero();
 }
 
+Core::Duration Gateway::poolSilenceLeft(Core::PoolName const& pool)
+{
+    std::optional<Core::Duration> shortest;
+    for (auto const& [number, server] : view_.servers()) {
+        if (server.record.pool == pool && mayServe(server.record))
+            shortest = std::min(shortest.value_or(Core::Duration::max()), silenceLeft(number));
+    }
+    return shortest.value_or(Core::Duration::zero());
+}
+
 void Gateway::onLimitSignals(
     Fleet::ServerRecord const& server, BackpressureSignals const& signals, Core::TimePoint sentAt)
 {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -86,6 +86,8 @@
     void onSilenceSignals(Fleet::ServerRecord const&, BackpressureSignals const&);
     /// The time for which a server wants no request from this host; zero if it takes requests.
     Core::Duration silenceLeft(Fleet::ServerNumber);
+    /// The time until the first server of the pool takes requests again; zero if any does, or if there is none.
+    Core::Duration poolSilenceLeft(Core::PoolName const&);
     void applyRequestLimits(Fleet::ViewUpdate const&);
     /// Returns what a server has asked for since it joined; null if nothing.
     ServerBackpressure* backpressureOf(Fleet::ServerNumber);
--- a/Tests/LibGateway/TestSilentServers.cpp
+++ b/Tests/LibGateway/TestSilentServers.cpp
@@ -84,6 +84,38 @@
     BOOST_TEST(closeLog().find("servers-silent") != std::string::npos);
 }
 
+// Found by a process test: keys that moved while all servers were silent kept their callers waiting for an owner that
+// would be silent too.
+BOOST_AUTO_TEST_CASE(AKeyWithoutAnOwnerIsRefusedAtOnceWhileAllServersAreSilent)
+{
+    ask("/safe/x", "1");
+    Fleet::ViewUpdate update;
+    update.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 400 });
+    gateway.apply(update);
+    auto const begin = Core::BootClock::now();
+    auto const caller = ask("/safe/x", "2");
+    BOOST_TEST(caller->status() == "503");
+    BOOST_TEST(retryAfter(*caller) > 0.6);
+    BOOST_TEST((Core::BootClock::now() - begin < 200ms));
+}
+
+// The silence ends before the owner is expected.
+BOOST_AUTO_TEST_CASE(AKeyWithoutAnOwnerIsWaitedForIfTheSilenceIsShorter)
+{
+    owner.setScript(silent(100));
+    ask("/safe/x", "1");
+    owner.setScript(answering("200 OK", "done"));
+    Fleet::ViewUpdate update;
+    update.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 0, 300 });
+    gateway.apply(update);
+    auto const caller = connect("/safe/x", "2");
+    runFor(loop, 200ms);
+    update.ranges.rows.front() = { keyed, 0, Fleet::keyCount - 1, 1, 0 };
+    gateway.apply(update);
+    caller->waitForAnswer();
+    BOOST_TEST(caller->status() == "200");
+}
+
 BOOST_AUTO_TEST_CASE(TheLongestOfSeveralSilencesHolds)
 {
     owner.setScript([](auto const& request) {
