--- a/Tests/Processes/trial.py
+++ b/Tests/Processes/trial.py
@@ -15,7 +15,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", "review", "standin"))
-from standin import Client, Record, Site, Worker  # noqa: E402
+from standin import Client, Record, Site, Worker, call_control  # noqa: E402, F401
 
 HOST = "letters.example"
 POOLS = ("keyed", "plain")
@@ -69,17 +69,26 @@
         await self.site.wait_ready()
         await asyncio.sleep(5)
 
+    def on_outcome(self, entry, method, path, attempt, status, body):
+        """A caller has got an answer, or none if the status is None."""
+
     def on_answer(self, pool, entry, headers):
         """A caller has got an answer through this entry host."""
 
+    def draw_request(self, pool):
+        """The method and path of the next request."""
+        return "GET", "/%s/x" % pool
+
     async def request(self, client, pool):
         attempt = "%016x" % self.random.getrandbits(64)
+        method, path = self.draw_request(pool)
         sent = time.monotonic()
         self.site.entry_of[attempt] = client.entry.name
         self.site.sent_at[attempt] = sent
         headers = [("X-Shard-Key", self.random.randrange(65536))]
-        _, status, answer, _ = await client.send("GET", HOST, "/%s/x" % pool, DEADLINE_S, headers, b"", attempt)
+        _, status, answer, body = await client.send(method, HOST, path, DEADLINE_S, headers, b"", attempt)
         self.outcomes.append((sent, pool, status, time.monotonic() - sent, answer))
+        self.on_outcome(client.entry.name, method, path, attempt, status, body)
         self.on_answer(pool, client.entry.name, answer)
 
     async def traffic(self, pool):
