Reword comments of the reservations and tell processes of a server apart by address

The comments said in a roundabout way which hosts ask the leader and why the window is longer than 4 s. In TestFaultSoak a server's process was named after an ID that is replaced later; its address and start name it now. No behaviour of the programs changes; TestLibGateway passes.

--- a/Libraries/LibFleet/RequestLimits.cpp
+++ b/Libraries/LibFleet/RequestLimits.cpp
@@ -13,8 +13,7 @@
     /// The lowest rate of requests per second to a limited server. An entry host learns only from an answer that the
     /// server no longer names a limit, also if that limit is zero.
     constexpr double minRate = 0.7;
-    /// The time for which the platform checks limits, and the time that a request may travel longer than another one or
-    /// be sent after its reserved time.
+    /// The platform checks limits over any 4 s, and a request may be sent up to 250 ms after its reserved time.
     constexpr Core::Duration checkedWindow = std::chrono::milliseconds(4250);
     /// The most that is sent within the window, in seconds of the limit, and in requests besides. The platform allows
     /// 6 s and five requests; requests that were reserved before a fall of the limit was known use the rest.
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -245,8 +245,8 @@
     auto const share = gateway_.shareOf(number);
     if (gateway_.reservations_.isLeaderSilent())
         return limited.tryAcquireLeaderlessShare(now, share) ? LimitedSend::Allowed : LimitedSend::Refused;
-    // A request that need not wait for this server is a reason to ask only for the hosts whose share has room, which
-    // bounds the number of messages.
+    // If other servers can run the request, only hosts whose share has room ask the leader, which bounds the number of
+    // messages.
     auto const mayAsk = patience > Core::Duration::zero() || limited.hasShare(now, share);
     if (!mayAsk || notReserved_.contains(number) || limited.refusedFor(now, patience))
         return LimitedSend::Refused;
--- a/Tests/Processes/test_fault_soak.py
+++ b/Tests/Processes/test_fault_soak.py
@@ -39,7 +39,8 @@
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
-        self.life = "%s.%d" % (self.id, self.born)
+        # Tells the processes of one server apart.
+        self.life = "%s.%d" % (self.address, self.born)
         self.is_leaving = False
         self.silence = None
         self.limit = None
@@ -236,7 +237,6 @@
         await asyncio.sleep(self.random.uniform(0, 1.5))
         server = SoakServer(self.site, pool, old.zone, is_sharded=old.is_sharded, address=old.address)
         server.id = old.id
-        server.life = "%s.%d" % (server.id, server.born)
         self.servers[pool][self.servers[pool].index(old)] = server
         self.lives.append(server)
         await server.start()
