--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -28,6 +28,10 @@
     void logUnfinished() const;
 
 private:
+    static constexpr std::uint16_t statusBadGateway = 502;
+    /// Retry-After time if no better estimate is known.
+    static constexpr Core::Duration defaultRetryAfter = std::chrono::milliseconds(250);
+
     void onAnswer(Net::HttpAnswer, AnswerMetadata const&) override;
     void onFailure(Net::ExchangeFailure) override;
 
