Serve workspaces: API keys, priorities and quotas

Cause: workspaces were kept and read back, but no request was looked up by its key. Requests without a known key ran, keys and caller-made workspace names reached servers, and quotas and priorities had no effect. Change: the view has workspaces and public routes; entry hosts find the workspace by the key, refuse unknown keys with 401, pass on its name in place of the key, and use its priority. Quotas are divided into fixed shares of the entry hosts and credits of the control leader.

--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -255,9 +255,14 @@
         if (auto const request = Fleet::decode<Fleet::ReservationRequest>(payload))
             onReservationRequest(channel, *request);
         return;
+    case FrameType::QuotaRequest:
+        if (auto const request = Fleet::decode<Fleet::QuotaRequest>(payload))
+            onQuotaRequest(channel, *request);
+        return;
     case FrameType::View:
     case FrameType::CompressedView:
     case FrameType::ReservationReply:
+    case FrameType::QuotaReply:
         return;
     }
 }
@@ -334,6 +339,14 @@
     channel.send(makeFrame(FrameType::ReservationReply, reply));
 }
 
+/// Without the authority of a quorum there is no answer, for the same reason as for reservations.
+void ControlHost::onQuotaRequest(Net::FrameChannel& channel, Fleet::QuotaRequest const& request)
+{
+    if (!coordinator_ || !replica_.hasAuthority())
+        return;
+    channel.send(makeFrame(FrameType::QuotaReply, coordinator_->grantQuota(loop_.now(), request)));
+}
+
 void ControlHost::onApplied(Fleet::Command const& command, Fleet::ApplyResult const& applied)
 {
     if (!coordinator_)
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -69,6 +69,7 @@
     /// Logs the entry hosts that lack a change of the configuration items.
     void reportEntryHostsBehind();
     void onReservationRequest(Net::FrameChannel&, Fleet::ReservationRequest const&);
+    void onQuotaRequest(Net::FrameChannel&, Fleet::QuotaRequest const&);
     void publishRequestLimits();
     void logChanges(Fleet::Command const&, Fleet::ApplyResult const&);
     void onHint(LeaderHint const&);
--- a/Libraries/LibControlHost/Frames.h
+++ b/Libraries/LibControlHost/Frames.h
@@ -26,6 +26,10 @@
     ReservationRequest = 'Q',
     /// The leader's `Fleet::ReservationReply`.
     ReservationReply = 'A',
+    /// A `Fleet::QuotaRequest` of an entry host.
+    QuotaRequest = 'W',
+    /// The leader's `Fleet::QuotaReply`.
+    QuotaReply = 'w',
 };
 
 struct JoinRequest {
--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -64,6 +64,7 @@
     : state_(state)
     , settings_(settings)
     , startedAt_(now)
+    , quotas_(settings.quotas, now)
     , lastBalance_(now)
     , crashes_(quarantineSettings())
 {
@@ -417,6 +418,16 @@
     return limits_.reserve(limit.server, std::chrono::milliseconds(request.patienceMs), now);
 }
 
+QuotaReply Coordinator::grantQuota(Core::TimePoint now, QuotaRequest const& request)
+{
+    auto const found = state_.workspaces().find(request.workspace.value);
+    if (found != state_.workspaces().end() && found->second.item)
+        return quotas_.grant(*found->second.item, request, now);
+    // The view of the entry host still contains a workspace that was removed.
+    quotas_.remove(request.workspace);
+    return { request.id, 0, Core::toMilliseconds(settings_.quotas.window) };
+}
+
 bool Coordinator::isCold(ServerNumber number, Core::TimePoint now) const
 {
     return remainingColdTime(number, now) > Core::Duration::zero();
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -6,6 +6,7 @@
 #include <LibFleet/RangePlacement.h>
 #include <LibFleet/Reservation.h>
 #include <LibFleet/State.h>
+#include <LibFleet/WorkspaceQuotas.h>
 #include <LibPolicy/CrashTracker.h>
 
 #include <unordered_map>
@@ -51,6 +52,7 @@
     /// The largest fraction by which the clock of a backend server may run slow.
     double clockDrift { 0.02 };
     Core::Duration heartbeatInterval { std::chrono::seconds(1) };
+    QuotaBounds quotas;
 };
 
 /// The measurements that an entry host reports to the leader every half second.
@@ -158,6 +160,8 @@
     std::vector<ServerOccupancy> allOccupancies() const;
     /// Grants or refuses a send to a server that names a request rate limit.
     Reservation reserve(Core::TimePoint now, ReservationRequest const&);
+    /// Grants credits of the quota of a workspace.
+    QuotaReply grantQuota(Core::TimePoint now, QuotaRequest const&);
     /// Returns the request rate limits that began, ended or changed noticeably since the last call.
     std::vector<RequestLimitRow> takeRequestLimitChanges(Core::TimePoint now) { return limits_.takeChanges(now); }
     std::vector<RequestLimitRow> allRequestLimits(Core::TimePoint now) const { return limits_.all(now); }
@@ -294,6 +298,7 @@
     std::map<Core::PoolName, std::map<std::uint32_t, std::uint32_t>> keyArrivals_;
     OccupancyEstimates occupancies_;
     RequestLimits limits_;
+    WorkspaceQuotas quotas_;
     Command pending_;
     std::vector<RangeRow> rows_;
     std::vector<ServerNumber> coldChanges_;
--- a/Libraries/LibFleet/Model.h
+++ b/Libraries/LibFleet/Model.h
@@ -48,12 +48,14 @@
     std::int32_t priority { 0 };
     /// The maximum number of backend servers that one request may be sent to.
     std::uint32_t maxAttempts { 1 };
+    /// Whether requests need no API key although workspaces are configured.
+    bool isPublic { false };
     std::vector<PoolShare> shares;
     /// The item as the operator sent it, returned when it is read back.
     std::string document;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
-    RouteItem, name, version, host, prefix, kind, timeoutMs, targetLatencyMs, priority, maxAttempts, shares, document)
+void to_json(nlohmann::json&, RouteItem const&);
+void from_json(nlohmann::json const&, RouteItem&);
 
 struct PoolItem {
     Core::PoolName name;
@@ -83,15 +85,22 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
     LimitsItem, version, maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs, document)
 
-/// A customer of the operator. Entry hosts do not use workspaces yet; they are kept for the operator.
+/// A customer of the operator, whose requests carry one of its API keys.
 struct WorkspaceItem {
     Core::WorkspaceName name;
     std::uint64_t version { 0 };
     /// The secrets by which requests show that they are the workspace's. No two workspaces have the same.
     std::vector<std::string> apiKeys;
+    /// The priority class of its requests, which replaces that of the route if it is set.
+    std::optional<std::int32_t> priority;
+    /// The requests per second from all entry hosts together that the workspace may run; zero for no limit.
+    double ratePerSecond { 0 };
+    /// The requests that the workspace may run at once in addition to its rate.
+    double burst { 0 };
     std::string document;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WorkspaceItem, name, version, apiKeys, document)
+void to_json(nlohmann::json&, WorkspaceItem const&);
+void from_json(nlohmann::json const&, WorkspaceItem&);
 
 /// Removes the item of this name if `version` is higher than the item's version.
 struct Removal {
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -346,6 +346,52 @@
     return found->second;
 }
 
+void to_json(nlohmann::json& out, RouteItem const& route)
+{
+    out = nlohmann::json { { "name", route.name }, { "version", route.version }, { "host", route.host },
+        { "prefix", route.prefix }, { "kind", route.kind }, { "timeoutMs", route.timeoutMs },
+        { "targetLatencyMs", route.targetLatencyMs }, { "priority", route.priority },
+        { "maxAttempts", route.maxAttempts }, { "isPublic", route.isPublic }, { "shares", route.shares },
+        { "document", route.document } };
+}
+
+void from_json(nlohmann::json const& in, RouteItem& route)
+{
+    in.at("name").get_to(route.name);
+    in.at("version").get_to(route.version);
+    in.at("host").get_to(route.host);
+    in.at("prefix").get_to(route.prefix);
+    in.at("kind").get_to(route.kind);
+    in.at("timeoutMs").get_to(route.timeoutMs);
+    in.at("targetLatencyMs").get_to(route.targetLatencyMs);
+    in.at("priority").get_to(route.priority);
+    in.at("maxAttempts").get_to(route.maxAttempts);
+    // Logs and snapshots of earlier software versions have no public routes.
+    route.isPublic = in.value("isPublic", false);
+    in.at("shares").get_to(route.shares);
+    in.at("document").get_to(route.document);
+}
+
+void to_json(nlohmann::json& out, WorkspaceItem const& workspace)
+{
+    out = nlohmann::json { { "name", workspace.name }, { "version", workspace.version },
+        { "apiKeys", workspace.apiKeys }, { "priority", workspace.priority },
+        { "ratePerSecond", workspace.ratePerSecond }, { "burst", workspace.burst },
+        { "document", workspace.document } };
+}
+
+void from_json(nlohmann::json const& in, WorkspaceItem& workspace)
+{
+    in.at("name").get_to(workspace.name);
+    in.at("version").get_to(workspace.version);
+    in.at("apiKeys").get_to(workspace.apiKeys);
+    // Logs and snapshots of earlier software versions lack the priority and the quota.
+    workspace.priority = in.value("priority", std::optional<std::int32_t> {});
+    workspace.ratePerSecond = in.value("ratePerSecond", 0.0);
+    workspace.burst = in.value("burst", 0.0);
+    in.at("document").get_to(workspace.document);
+}
+
 void to_json(nlohmann::json& out, ItemChange const& change)
 {
     out = nlohmann::json { { "routes", change.routes }, { "pools", change.pools }, { "limits", change.limits },
--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -44,6 +44,10 @@
     constexpr std::size_t rangeFields = 5;
     /// The length of the encoding of a removed item, which consists of its name and version.
     constexpr std::size_t removedItemFields = 2;
+    /// The number of fields of a route before its shares.
+    constexpr std::size_t routeFields = 9;
+    /// The number of fields of a workspace before its API keys.
+    constexpr std::size_t workspaceFields = 5;
 
 } // namespace
 
@@ -81,6 +85,9 @@
         out.push_back(share.pool);
         out.push_back(share.weight);
     }
+    // An odd number of fields after the fixed ones. Entry hosts of earlier versions ignore the last one.
+    if (route.isPublic)
+        out.push_back(true);
 }
 
 void from_json(nlohmann::json const& in, RouteRow& row)
@@ -100,7 +107,8 @@
     in.at(6).get_to(route.targetLatencyMs);
     in.at(7).get_to(route.priority);
     in.at(8).get_to(route.maxAttempts);
-    for (std::size_t i = 9; i + 1 < in.size(); i += 2)
+    route.isPublic = (in.size() - routeFields) % 2 == 1;
+    for (std::size_t i = routeFields; i + 1 < in.size(); i += 2)
         route.shares.push_back({ in.at(i).get<Core::PoolName>(), in.at(i + 1).get<double>() });
 }
 
@@ -131,6 +139,35 @@
     in.at(5).get_to(pool.isKeyDivided);
 }
 
+void to_json(nlohmann::json& out, WorkspaceRow const& row)
+{
+    out = nlohmann::json::array({ row.name, row.held.version });
+    if (!row.held.item)
+        return;
+    auto const& workspace = *row.held.item;
+    for (nlohmann::json field : { nlohmann::json(workspace.priority), nlohmann::json(workspace.ratePerSecond),
+             nlohmann::json(workspace.burst) })
+        out.push_back(std::move(field));
+    std::ranges::copy(workspace.apiKeys, std::back_inserter(out));
+}
+
+void from_json(nlohmann::json const& in, WorkspaceRow& row)
+{
+    in.at(0).get_to(row.name);
+    in.at(1).get_to(row.held.version);
+    row.held.item.reset();
+    if (in.size() == removedItemFields)
+        return;
+    auto& workspace = row.held.item.emplace();
+    workspace.name = { row.name };
+    workspace.version = row.held.version;
+    workspace.priority = in.at(2).get<std::optional<std::int32_t>>();
+    in.at(3).get_to(workspace.ratePerSecond);
+    in.at(4).get_to(workspace.burst);
+    for (std::size_t i = workspaceFields; i < in.size(); ++i)
+        workspace.apiKeys.push_back(in.at(i).get<std::string>());
+}
+
 void to_json(nlohmann::json& out, RangeRows const& ranges)
 {
     std::map<std::string, std::vector<std::int64_t>> lists;
@@ -200,6 +237,7 @@
         out["itemRevision"] = update.itemRevision;
     putUnlessEmpty(out, "routes", update.routes);
     putUnlessEmpty(out, "pools", update.pools);
+    putUnlessEmpty(out, "workspaces", update.workspaces);
     putIfSet(out, "limits", update.limits);
     putIfSet(out, "evacuated", update.evacuated);
     putUnlessEmpty(out, "servers", update.servers);
@@ -221,6 +259,7 @@
     readIfPresent(in, "itemRevision", update.itemRevision);
     readIfPresent(in, "routes", update.routes);
     readIfPresent(in, "pools", update.pools);
+    readIfPresent(in, "workspaces", update.workspaces);
     readOptionalIfPresent(in, "limits", update.limits);
     readOptionalIfPresent(in, "evacuated", update.evacuated);
     readIfPresent(in, "servers", update.servers);
@@ -234,9 +273,9 @@
 
 bool ViewUpdate::isEmpty() const
 {
-    return !isWhole && itemRevision == 0 && routes.empty() && pools.empty() && !limits && !evacuated && servers.empty()
-        && removedServers.empty() && ranges.rows.empty() && occupancies.rows.empty() && requestLimits.empty()
-        && !quarantined && !entryHosts;
+    return !isWhole && itemRevision == 0 && routes.empty() && pools.empty() && workspaces.empty() && !limits
+        && !evacuated && servers.empty() && removedServers.empty() && ranges.rows.empty() && occupancies.rows.empty()
+        && requestLimits.empty() && !quarantined && !entryHosts;
 }
 
 void addServer(
@@ -256,6 +295,7 @@
     auto const known = knownRevision <= state.itemRevision() ? knownRevision : 0;
     addItemsAfter(state.routes(), known, update.routes);
     addItemsAfter(state.pools(), known, update.pools);
+    addItemsAfter(state.workspaces(), known, update.workspaces);
     if (state.limits().version > 0)
         update.limits = state.limits();
     update.evacuated = state.evacuated();
@@ -275,6 +315,8 @@
         addItem(state.routes(), name.value, update.routes);
     for (auto const& name : applied.pools)
         addItem(state.pools(), name.value, update.pools);
+    for (auto const& name : applied.workspaces)
+        addItem(state.workspaces(), name.value, update.workspaces);
     if (applied.hasChangedItems)
         update.itemRevision = state.itemRevision();
     if (command.items && command.items->limits)
@@ -293,6 +335,9 @@
     std::vector<ServerNumber> removed = update.removedServers;
     mergeItems<RouteItem>(routes_, update.routes);
     mergeItems<PoolItem>(pools_, update.pools);
+    mergeItems<WorkspaceItem>(workspaces_, update.workspaces);
+    if (!update.workspaces.empty())
+        apiKeys_.rebuild(workspaces_);
     itemRevision_ = update.isWhole ? update.itemRevision : std::max(itemRevision_, update.itemRevision);
     if (update.limits && update.limits->version > limits_.version)
         limits_ = *update.limits;
@@ -373,6 +418,14 @@
     return found == pools_.end() || !found->second.item ? nullptr : &*found->second.item;
 }
 
+WorkspaceItem const* View::findWorkspace(std::string_view apiKey) const { return apiKeys_.find(apiKey); }
+
+WorkspaceItem const* View::findWorkspace(Core::WorkspaceName const& name) const
+{
+    auto const found = workspaces_.find(name.value);
+    return found == workspaces_.end() || !found->second.item ? nullptr : &*found->second.item;
+}
+
 ViewServer const* View::findServer(ServerNumber number) const
 {
     auto const found = servers_.find(number);
--- a/Libraries/LibFleet/View.h
+++ b/Libraries/LibFleet/View.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibFleet/ApiKeyIndex.h>
 #include <LibFleet/Coordinator.h>
 
 #include <span>
@@ -36,10 +37,13 @@
 };
 using RouteRow = ItemRow<RouteItem>;
 using PoolRow = ItemRow<PoolItem>;
+using WorkspaceRow = ItemRow<WorkspaceItem>;
 void to_json(nlohmann::json&, RouteRow const&);
 void from_json(nlohmann::json const&, RouteRow&);
 void to_json(nlohmann::json&, PoolRow const&);
 void from_json(nlohmann::json const&, PoolRow&);
+void to_json(nlohmann::json&, WorkspaceRow const&);
+void from_json(nlohmann::json const&, WorkspaceRow&);
 
 /// An update that the control leader sends to an entry host: a full update at first, then the changes.
 struct ViewUpdate {
@@ -49,6 +53,7 @@
     std::uint64_t itemRevision { 0 };
     std::vector<RouteRow> routes;
     std::vector<PoolRow> pools;
+    std::vector<WorkspaceRow> workspaces;
     std::optional<LimitsItem> limits;
     std::optional<std::set<std::string>> evacuated;
     std::vector<ServerRow> servers;
@@ -94,6 +99,14 @@
 /// The routing state of an entry host. The version of an item never decreases.
 class View {
 public:
+    /// `apiKeySeed` is a secret of the process, see `ApiKeyIndex`.
+    explicit View(std::uint64_t apiKeySeed = 0)
+        : apiKeys_(apiKeySeed)
+    {
+    }
+    View(View const&) = delete;
+    View& operator=(View const&) = delete;
+
     /// Applies an update and returns the servers that are no longer part of the view.
     std::vector<ServerNumber> apply(ViewUpdate const&, Core::TimePoint now);
 
@@ -105,6 +118,11 @@
     RouteItem const* findRoute(std::string_view host, std::string_view path) const;
     PoolItem const* findPool(Core::PoolName const&) const;
     LimitsItem const& limits() const { return limits_; }
+    /// Whether the configuration has workspaces, so that requests need an API key.
+    bool hasWorkspaces() const { return !apiKeys_.isEmpty(); }
+    /// Returns the workspace that has the API key. Null if none has.
+    WorkspaceItem const* findWorkspace(std::string_view apiKey) const;
+    WorkspaceItem const* findWorkspace(Core::WorkspaceName const&) const;
     ViewServer const* findServer(ServerNumber) const;
     std::map<ServerNumber, ViewServer> const& servers() const { return servers_; }
     /// Whether a server may get requests: it is neither draining nor in a failure domain that is out of service.
@@ -137,6 +155,8 @@
     std::uint64_t itemRevision_ { 0 };
     std::map<std::string, VersionedItem<RouteItem>> routes_;
     std::map<std::string, VersionedItem<PoolItem>> pools_;
+    std::map<std::string, VersionedItem<WorkspaceItem>> workspaces_;
+    ApiKeyIndex apiKeys_;
     /// The routes of each host, sorted by descending length of the prefix.
     std::map<std::string, std::vector<RouteItem const*>, std::less<>> routesByHost_;
     LimitsItem limits_;
--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -66,6 +66,13 @@
     return left + std::chrono::duration_cast<Core::Duration>(spread * jitter);
 }
 
+Core::Duration Admission::quotaRetryAfter(Core::Duration wait, double jitter)
+{
+    // One caller may take the first place, so the others return over a second after it.
+    auto const spread = std::max(wait, meanOverloadRetryAfter);
+    return wait + std::chrono::duration_cast<Core::Duration>(spread * jitter);
+}
+
 Core::Duration Admission::maxReservationWait(AdmissionQuery const& query, ServerLoad const& server)
 {
     auto const service = std::chrono::duration_cast<Core::Duration>(server.serviceTime() * minServiceTimeFraction);
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -54,6 +54,8 @@
     /// after it.
     static Core::Duration silenceRetryAfter(Core::Duration left, double jitter);
 
+    /// The Retry-After time after a refusal for a quota in which there is room again after `wait`.
+    static Core::Duration quotaRetryAfter(Core::Duration wait, double jitter);
     /// The longest time that a request may wait until it is sent to a server that names a limit, so that it is still
     /// answered in time. Less urgent requests may wait less, so that they are refused first.
     static Core::Duration maxReservationWait(AdmissionQuery const&, ServerLoad const&);
--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -42,6 +42,7 @@
     , leaderConnection_(loop, events, *this, settings_.name, settings_.controlHosts)
 {
     gateway_.setReservationTransport(*this);
+    gateway_.setQuotaTransport(*this);
     sendReport();
 }
 
--- a/Libraries/LibGateway/EntryHost.h
+++ b/Libraries/LibGateway/EntryHost.h
@@ -15,7 +15,7 @@
 };
 
 /// The entry role of one process: serves callers according to the view that it receives from the control leader.
-class EntryHost final : private LeaderConnectionHandler, private ReservationTransport {
+class EntryHost final : private LeaderConnectionHandler, private ReservationTransport, private QuotaTransport {
 public:
     EntryHost(Net::EventLoop&, Telemetry::EventLog&, Telemetry::Metrics&, RequestCodec const&, EntryHostSettings);
     ~EntryHost() override;
@@ -35,8 +35,10 @@
 private:
     void onView(Fleet::ViewUpdate const&) override;
     void onReservation(Fleet::ReservationReply const& reply) override { gateway_.onReservation(reply); }
+    void onQuotaReply(Fleet::QuotaReply const& reply) override { gateway_.onQuotaReply(reply); }
     std::uint64_t itemRevision() const override { return gateway_.itemRevision(); }
     bool send(Fleet::ReservationRequest const& request) override { return leaderConnection_.reserve(request); }
+    bool send(Fleet::QuotaRequest const& request) override { return leaderConnection_.requestQuota(request); }
     void sendReport();
     void continueStop();
     /// Time from the begin of a stop for which requests are taken.
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/Hash.h>
+#include <LibCore/Memory.h>
 #include <LibGateway/Exchange.h>
 #include <LibGateway/ServerChoice.h>
 #include <LibProxy/HeaderRules.h>
@@ -39,7 +40,35 @@
     if (!resolveRoute())
         return;
     startDeadlineTimer();
-    dispatch();
+    acquireQuota();
+}
+
+void Exchange::acquireQuota()
+{
+    auto const* const workspace = workspace_ ? gateway_.view_.findWorkspace(*workspace_) : nullptr;
+    if (!workspace) {
+        dispatch();
+        return;
+    }
+    quotaWait_ = gateway_.workspaceLimiter_.acquire(
+        *workspace, gateway_.shareOf(workspace->name), [this](auto const& decision, auto const& use) {
+            quotaWait_ = 0;
+            onQuotaDecision(decision, use);
+        });
+}
+
+void Exchange::onQuotaDecision(QuotaDecision const& decision, std::optional<QuotaUse> const& use)
+{
+    quotaUse_ = use;
+    if (decision.outcome == QuotaDecision::Outcome::Allowed) {
+        dispatch();
+        return;
+    }
+    auto const retryAfter = Admission::quotaRetryAfter(decision.wait, gateway_.random_.unit());
+    if (decision.outcome == QuotaDecision::Outcome::Exceeded)
+        refuse(statusTooManyRequests, "quota-exceeded", retryAfter);
+    else
+        refuse(statusUnavailable, "quota-unconfirmed", retryAfter);
 }
 
 void Exchange::startDeadlineTimer()
@@ -80,6 +109,8 @@
     route_ = route->name;
     kind_ = route->kind;
     priority_ = route->priority;
+    if (!resolveWorkspace(*route))
+        return false;
     maxAttempts_ = std::max(route->maxAttempts, 1U);
     auto limit = Core::Duration(std::chrono::milliseconds(route->timeoutMs));
     if (metadata_.timeLeft)
@@ -106,6 +137,22 @@
     return true;
 }
 
+bool Exchange::resolveWorkspace(Fleet::RouteItem const& route)
+{
+    auto const* const workspace = metadata_.apiKey.empty() ? nullptr : gateway_.view_.findWorkspace(metadata_.apiKey);
+    // The key is not needed any more, and nothing that is logged or sent from here on may contain it.
+    Core::releaseMemory(metadata_.apiKey);
+    if (workspace) {
+        workspace_ = workspace->name;
+        priority_ = workspace->priority.value_or(priority_);
+        return true;
+    }
+    if (!gateway_.view_.hasWorkspaces() || route.isPublic)
+        return true;
+    fail(statusUnauthorized, "unknown-api-key");
+    return false;
+}
+
 std::string Exchange::fingerprint() const
 {
     auto const digest = Core::digest128(request_.head.method + " " + request_.head.target + "\n" + request_.body);
@@ -306,9 +353,11 @@
     auto& bytes = outgoing.bytes;
     bytes.append(request_.head.method).append(" ").append(request_.head.target).append(" HTTP/1.1\r\n");
     auto forwarded = request_.head;
-    std::erase_if(forwarded.fields, [&](auto const& field) { return gateway_.codec_.replacesField(field.name); });
+    auto const hasWorkspaces = gateway_.view_.hasWorkspaces();
+    std::erase_if(
+        forwarded.fields, [&](auto const& field) { return gateway_.codec_.replacesField(field.name, hasWorkspaces); });
     Proxy::appendForwardedFields(bytes, forwarded);
-    for (auto const& field : gateway_.codec_.headerFieldsFor(server.record.name, remainingTime()))
+    for (auto const& field : gateway_.codec_.headerFieldsFor(server.record.name, remainingTime(), workspace_))
         Proxy::appendField(bytes, field.name, field.value);
     if (!request_.body.empty() || request_.head.contentLength || request_.head.isChunked)
         Proxy::appendField(bytes, "Content-Length", std::to_string(request_.body.size()));
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -28,6 +28,9 @@
     void logUnfinished() const;
 
 private:
+    static constexpr std::uint16_t statusUnauthorized = 401;
+    static constexpr std::uint16_t statusTooManyRequests = 429;
+    static constexpr std::uint16_t statusUnavailable = 503;
     static constexpr std::uint16_t statusBadGateway = 502;
     /// Retry-After time if no better estimate is known.
     static constexpr Core::Duration defaultRetryAfter = std::chrono::milliseconds(250);
@@ -36,6 +39,15 @@
     void onFailure(Net::ExchangeFailure) override;
 
     bool resolveRoute();
+    /// Finds the workspace of the request. Returns false if the request was answered since it lacks a valid API key.
+    bool resolveWorkspace(Fleet::RouteItem const&);
+    /// Dispatches the request, or refuses it, once it is known whether it is within the quota of its workspace.
+    void acquireQuota();
+    void onQuotaDecision(QuotaDecision const&, std::optional<QuotaUse> const&);
+    /// Returns what the request has used of the quota of its workspace, since it was not run.
+    void refundQuota();
+    /// Refuses the request, which was not run, with a status that says so.
+    void refuse(std::uint16_t status, std::string_view reason, Core::Duration retryAfter);
     void dispatch();
     void dispatchToOwner(Fleet::PoolItem const&);
     void dispatchToAnyServer(Fleet::PoolItem const&);
@@ -95,6 +107,12 @@
     Net::ExchangeId id_;
     Net::HttpRequest request_;
     RequestMetadata metadata_;
+    /// The workspace whose API key the request has.
+    std::optional<Core::WorkspaceName> workspace_;
+    /// What the request has used of the quota of its workspace.
+    std::optional<QuotaUse> quotaUse_;
+    /// The wait for the decision about the quota; zero for none.
+    std::uint64_t quotaWait_ { 0 };
     Core::RouteName route_;
     Core::PoolName pool_;
     Fleet::RequestKind kind_ { Fleet::RequestKind::Unsafe };
--- a/Libraries/LibGateway/ExchangeOutcomes.cpp
+++ b/Libraries/LibGateway/ExchangeOutcomes.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-    constexpr std::uint16_t statusUnavailable = 503;
     constexpr std::uint16_t statusGatewayTimeout = 504;
     /// The status of a server that does not own the key or is not the server that was addressed.
     constexpr std::uint16_t statusMisdirected = 421;
@@ -169,17 +168,24 @@
 }
 
 void Exchange::refuse(std::string_view reason, Core::Duration retryAfter)
+{
+    refuse(statusUnavailable, reason, retryAfter);
+}
+
+void Exchange::refuse(std::uint16_t status, std::string_view reason, Core::Duration retryAfter)
 {
     if (mayHaveRun_) {
         fail(statusBadGateway, reason);
         return;
     }
+    refundQuota();
     gateway_.events_.write(EventId::RequestRejected,
         { { "request", metadata_.attemptId }, { "route", route_.value }, { "reason", reason },
-            { "key", metadata_.key.value_or(0) }, { "leftMs", Core::toMilliseconds(remainingTime()) },
+            { "workspace", workspace_ ? workspace_->value : "" }, { "key", metadata_.key.value_or(0) },
+            { "leftMs", Core::toMilliseconds(remainingTime()) },
             { "retryAfterMs", Core::toMilliseconds(retryAfter) } });
     Net::HttpResponse response;
-    response.status = statusUnavailable;
+    response.status = status;
     response.fields.push_back({ "Retry-After", formatSeconds(std::max(retryAfter, Core::Duration::zero())) });
     respond(std::move(response), "not-run", reason);
 }
@@ -190,6 +196,8 @@
         { { "request", metadata_.attemptId }, { "route", route_.value }, { "reason", reason }, { "status", status } });
     Net::HttpResponse response;
     response.status = status;
+    if (status == statusUnauthorized)
+        response.fields.push_back(gateway_.codec_.challengeField());
     respond(std::move(response), "unknown", reason);
 }
 
@@ -211,9 +219,17 @@
         refuse(reason, defaultRetryAfter);
 }
 
+void Exchange::refundQuota()
+{
+    if (workspace_ && quotaUse_)
+        gateway_.workspaceLimiter_.refund(*workspace_, *std::exchange(quotaUse_, std::nullopt));
+}
+
 void Exchange::abandon()
 {
     cancelTimers();
+    if (sends_ == 0)
+        refundQuota();
     if (!connection_)
         return;
     if (auto const* const server = gateway_.view_.findServer(server_))
@@ -249,6 +265,8 @@
     gateway_.loop_.cancel(deadlineTimer_);
     gateway_.loop_.cancel(waitTimer_);
     gateway_.reservations_.cancel(std::exchange(reservation_, 0));
+    if (workspace_ && quotaWait_ != 0)
+        gateway_.workspaceLimiter_.cancel(*workspace_, std::exchange(quotaWait_, 0));
 }
 
 } // namespace Gateway
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,3 +1,4 @@
+#include <LibCore/Hash.h>
 #include <LibGateway/Exchange.h>
 
 #include <algorithm>
@@ -33,7 +34,9 @@
     , codec_(codec)
     , settings_(settings)
     , random_(Core::Random::fromSystemEntropy())
+    , view_(random_.next())
     , reservations_(loop)
+    , workspaceLimiter_(loop, settings.quotas)
     , serverConnections_(loop, codec, settings.linkBytesPerSecond)
 {
 }
@@ -179,13 +182,19 @@
     return coldStartLimiters_.try_emplace(server.record.number, coldStartWindow).first->second.tryAcquire(now, share);
 }
 
-EntryHostShare Gateway::shareOf(Fleet::ServerNumber server) const
+EntryHostShare Gateway::shareOf(Fleet::ServerNumber server) const { return rotatedShare(server); }
+
+EntryHostShare Gateway::shareOf(Core::WorkspaceName const& workspace) const
+{
+    return rotatedShare(Core::hash64(workspace.value));
+}
+
+EntryHostShare Gateway::rotatedShare(std::uint64_t rotation) const
 {
     EntryHostShare share;
     share.entryHosts = view_.entryHostCount();
-    // Rotates the ranks by the server's number, so that the first ranks go to different hosts for each server.
     if (auto const rank = view_.rankOf(settings_.name))
-        share.rank = (*rank + server) % share.entryHosts;
+        share.rank = static_cast<std::uint32_t>((*rank + rotation) % share.entryHosts);
     return share;
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -9,6 +9,7 @@
 #include <LibGateway/ServerBackpressure.h>
 #include <LibGateway/ServerConnections.h>
 #include <LibGateway/ServerLoad.h>
+#include <LibGateway/WorkspaceLimiter.h>
 #include <LibNet/HttpServer.h>
 #include <LibTelemetry/EventLog.h>
 #include <LibTelemetry/Metrics.h>
@@ -30,6 +31,7 @@
     Core::Duration leavingGrace { std::chrono::milliseconds(1500) };
     /// Bandwidth of this host's network link in each direction, in bytes a second; zero if it is not a bottleneck.
     double linkBytesPerSecond { 0 };
+    Fleet::QuotaBounds quotas;
 };
 
 /// The request path of one entry host. Must be used on the thread of the event loop.
@@ -44,6 +46,9 @@
     /// Sets where reservations are requested. Without it, this host uses only its own share of the servers' limits.
     void setReservationTransport(ReservationTransport& transport) { reservations_.setTransport(transport); }
     void onReservation(Fleet::ReservationReply const& reply) { reservations_.onReply(reply); }
+    /// Sets where credits of quotas are requested. Without it, this host uses only its own share of each quota.
+    void setQuotaTransport(QuotaTransport& transport) { workspaceLimiter_.setTransport(transport); }
+    void onQuotaReply(Fleet::QuotaReply const& reply) { workspaceLimiter_.onReply(reply); }
     bool isReady() const { return view_.isConfigured(); }
     std::uint64_t itemRevision() const { return view_.itemRevision(); }
     /// Closes each connection after its next answer, and limits the deadline of every request to this time.
@@ -99,6 +104,10 @@
     ServerBackpressure* limitedServer(Fleet::ServerNumber);
     /// The share of this entry host in a limit of the server that holds for all entry hosts together.
     EntryHostShare shareOf(Fleet::ServerNumber) const;
+    /// The share of this entry host in the quota of the workspace.
+    EntryHostShare shareOf(Core::WorkspaceName const&) const;
+    /// The rank of this entry host, rotated so that the first ranks go to different hosts for each limit.
+    EntryHostShare rotatedShare(std::uint64_t rotation) const;
     std::size_t connectionLimit(Fleet::PoolItem const&) const;
     void countArrival(Core::PoolName const&, std::uint32_t key);
     void countLatency(Fleet::ServerNumber, Core::Duration);
@@ -118,6 +127,7 @@
     /// The servers that have asked for anything since they joined.
     std::map<Fleet::ServerNumber, ServerBackpressure> backpressures_;
     Reservations reservations_;
+    WorkspaceLimiter workspaceLimiter_;
     std::map<Core::PoolName, RetryBudgetShare> retryBudgets_;
     std::map<Core::RouteName, PoolSplit> splits_;
     std::map<Core::RouteName, CallerPatience> patience_;
--- a/Libraries/LibGateway/LeaderConnection.cpp
+++ b/Libraries/LibGateway/LeaderConnection.cpp
@@ -49,6 +49,13 @@
     return leader_ != nullptr;
 }
 
+bool LeaderConnection::requestQuota(Fleet::QuotaRequest const& request)
+{
+    if (leader_)
+        leader_->send(ControlHost::makeFrame(FrameType::QuotaRequest, request));
+    return leader_ != nullptr;
+}
+
 bool LeaderConnection::isConnectingTo(Core::Endpoint const& endpoint) const
 {
     return std::ranges::count(attempts_, endpoint, &Attempt::peer) > 0;
@@ -129,6 +136,10 @@
         if (auto const reply = Fleet::decode<Fleet::ReservationReply>(payload); reply && leader_ == &channel)
             handler_.onReservation(*reply);
         return;
+    case FrameType::QuotaReply:
+        if (auto const reply = Fleet::decode<Fleet::QuotaReply>(payload); reply && leader_ == &channel)
+            handler_.onQuotaReply(*reply);
+        return;
     default:
         return;
     }
--- a/Libraries/LibGateway/LeaderConnection.h
+++ b/Libraries/LibGateway/LeaderConnection.h
@@ -12,6 +12,7 @@
     virtual ~LeaderConnectionHandler() = default;
     virtual void onView(Fleet::ViewUpdate const&) = 0;
     virtual void onReservation(Fleet::ReservationReply const&) = 0;
+    virtual void onQuotaReply(Fleet::QuotaReply const&) = 0;
     /// The revision of the configuration items that this entry host has, so that a leader sends only newer ones.
     virtual std::uint64_t itemRevision() const = 0;
 };
@@ -31,6 +32,8 @@
     void report(Fleet::LoadReport const&);
     /// Requests a reservation. Returns false if no leader is known.
     bool reserve(Fleet::ReservationRequest const&);
+    /// Requests credits of a quota. Returns false if no leader is known.
+    bool requestQuota(Fleet::QuotaRequest const&);
     bool isConnected() const { return leader_ != nullptr; }
 
 private:
--- a/Libraries/LibGateway/RequestCodec.h
+++ b/Libraries/LibGateway/RequestCodec.h
@@ -14,6 +14,8 @@
     std::optional<Core::Duration> timeLeft;
     /// The key of a request to a key-divided pool.
     std::optional<std::uint32_t> key;
+    /// The secret by which the caller shows that the request is a workspace's. Empty if there is none.
+    std::string apiKey;
 };
 
 /// The load of a backend server at the time of its answer.
@@ -55,11 +57,15 @@
     virtual ~RequestCodec() = default;
     virtual RequestMetadata readRequest(Proxy::MessageHead const&) const = 0;
     virtual AnswerMetadata readAnswer(Proxy::MessageHead const&) const = 0;
-    /// The header fields that pass on the time left and name the server, so that no other server at its address runs
-    /// the request.
-    virtual std::vector<Proxy::HeaderField> headerFieldsFor(Core::ServerName const&, Core::Duration left) const = 0;
-    /// Whether a header field of the caller is replaced by one of `headerFieldsFor`.
-    virtual bool replacesField(std::string_view fieldName) const = 0;
+    /// The header fields that pass on the time left and the workspace, and name the server, so that no other server at
+    /// its address runs the request.
+    virtual std::vector<Proxy::HeaderField> headerFieldsFor(
+        Core::ServerName const&, Core::Duration left, std::optional<Core::WorkspaceName> const&) const = 0;
+    /// Whether a header field of the caller is replaced by one of `headerFieldsFor`, or may carry an API key, which no
+    /// server gets to see. `hasWorkspaces` tells whether the configuration has API keys.
+    virtual bool replacesField(std::string_view fieldName, bool hasWorkspaces) const = 0;
+    /// The header field that tells a caller without a valid API key how to send one.
+    virtual Proxy::HeaderField challengeField() const = 0;
 };
 
 } // namespace Gateway
--- a/Libraries/LibGateway/SendShareLimiter.cpp
+++ b/Libraries/LibGateway/SendShareLimiter.cpp
@@ -14,8 +14,8 @@
 
 bool SendShareLimiter::hasRoom(Core::TimePoint now, SendShare const& share) const
 {
-    auto const isInWindow = [&](Core::TimePoint sent) { return now - sent < window_; };
-    return static_cast<std::size_t>(std::ranges::count_if(sends_, isInWindow)) < share.allowed();
+    auto const firstInWindow = std::ranges::upper_bound(sends_, now - window_);
+    return static_cast<std::size_t>(sends_.end() - firstInWindow) < share.allowed();
 }
 
 bool SendShareLimiter::tryAcquire(Core::TimePoint now, SendShare const& share)
@@ -33,4 +33,11 @@
     sends_.push_back(now);
 }
 
+void SendShareLimiter::takeBack(Core::TimePoint sent)
+{
+    auto const found = std::ranges::lower_bound(sends_, sent);
+    if (found != sends_.end() && *found == sent)
+        sends_.erase(found);
+}
+
 } // namespace Gateway
--- a/Libraries/LibGateway/SendShareLimiter.h
+++ b/Libraries/LibGateway/SendShareLimiter.h
@@ -37,6 +37,8 @@
     bool tryAcquire(Core::TimePoint now, SendShare const&);
     /// Records a request that was sent without `tryAcquire`.
     void record(Core::TimePoint now);
+    /// Takes back a request that was recorded at this time and not sent.
+    void takeBack(Core::TimePoint);
     /// The time of the latest request; the epoch before the first one.
     Core::TimePoint latest() const { return sends_.empty() ? Core::TimePoint {} : sends_.back(); }
 
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -48,8 +48,9 @@
         std::string_view text;
     };
     static constexpr std::array phrases { Phrase { 200, "OK" }, Phrase { 204, "No Content" },
-        Phrase { 307, "Temporary Redirect" }, Phrase { 400, "Bad Request" }, Phrase { 404, "Not Found" },
-        Phrase { 405, "Method Not Allowed" }, Phrase { 408, "Request Timeout" }, Phrase { 413, "Content Too Large" },
+        Phrase { 307, "Temporary Redirect" }, Phrase { 400, "Bad Request" }, Phrase { 401, "Unauthorized" },
+        Phrase { 404, "Not Found" }, Phrase { 405, "Method Not Allowed" }, Phrase { 408, "Request Timeout" },
+        Phrase { 413, "Content Too Large" }, Phrase { 429, "Too Many Requests" },
         Phrase { 431, "Request Header Fields Too Large" }, Phrase { 502, "Bad Gateway" },
         Phrase { 503, "Service Unavailable" }, Phrase { 504, "Gateway Timeout" } };
     auto const found = std::ranges::find(phrases, status, &Phrase::status);
--- a/Tests/LibFleet/TestState.cpp
+++ b/Tests/LibFleet/TestState.cpp
@@ -49,7 +49,12 @@
 
 WorkspaceItem makeWorkspace(std::string const& name, std::uint64_t version, std::vector<std::string> keys)
 {
-    return { { name }, version, std::move(keys), "{\"Version\":" + std::to_string(version) + "}" };
+    WorkspaceItem item;
+    item.name = { name };
+    item.version = version;
+    item.apiKeys = std::move(keys);
+    item.document = "{\"Name\":\"" + name + "\"}";
+    return item;
 }
 
 Command workspaceChange(std::vector<WorkspaceItem> workspaces)
--- a/Tests/LibGateway/FakeServers.cpp
+++ b/Tests/LibGateway/FakeServers.cpp
@@ -11,6 +11,7 @@
         metadata.timeLeft = std::chrono::milliseconds(std::stoi(std::string(*left)));
     if (auto const key = head.find("Key"))
         metadata.key = static_cast<std::uint32_t>(std::stoul(std::string(*key)));
+    metadata.apiKey = head.find("Api-Key").value_or("");
     return metadata;
 }
 
@@ -30,16 +31,24 @@
     return metadata;
 }
 
-std::vector<Proxy::HeaderField> TestCodec::headerFieldsFor(Core::ServerName const& server, Core::Duration left) const
+std::vector<Proxy::HeaderField> TestCodec::headerFieldsFor(
+    Core::ServerName const& server, Core::Duration left, std::optional<Core::WorkspaceName> const& workspace) const
 {
-    return { { "Left-Ms", std::to_string(Core::toMilliseconds(left)) }, { "Target", server.value } };
+    std::vector<Proxy::HeaderField> fields { { "Left-Ms", std::to_string(Core::toMilliseconds(left)) },
+        { "Target", server.value } };
+    if (workspace)
+        fields.push_back({ "Workspace", workspace->value });
+    return fields;
 }
 
-bool TestCodec::replacesField(std::string_view fieldName) const
+bool TestCodec::replacesField(std::string_view fieldName, bool hasWorkspaces) const
 {
-    return Proxy::equalsIgnoringCase(fieldName, "Left-Ms") || Proxy::equalsIgnoringCase(fieldName, "Target");
+    auto const isNamed = [&](auto const name) { return Proxy::equalsIgnoringCase(fieldName, name); };
+    return isNamed("Left-Ms") || isNamed("Target") || isNamed("Workspace") || (hasWorkspaces && isNamed("Api-Key"));
 }
 
+Proxy::HeaderField TestCodec::challengeField() const { return { "Challenge", "Api-Key" }; }
+
 class FakeServer::Connection final : public Net::StreamHandler {
 public:
     Connection(FakeServer& server, int fd)
--- a/Tests/LibGateway/TestLeaderConnection.cpp
+++ b/Tests/LibGateway/TestLeaderConnection.cpp
@@ -12,6 +12,7 @@
 class ViewReceiver final : public LeaderConnectionHandler {
 public:
     void onReservation(Fleet::ReservationReply const&) override { }
+    void onQuotaReply(Fleet::QuotaReply const&) override { }
     void onView(Fleet::ViewUpdate const& update) override
     {
         revision = update.itemRevision;
--- a/Tests/Platform/TestWire.cpp
+++ b/Tests/Platform/TestWire.cpp
@@ -5,6 +5,7 @@
 #include <platform/WireBodies.h>
 #include <platform/WireHeaders.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace Platform;
@@ -338,6 +339,44 @@
     BOOST_TEST(!headers.readAnswer(head).load.has_value());
 }
 
+// UNASKED: a key that reaches a server, or a workspace's name that the caller chose.
+BOOST_AUTO_TEST_CASE(AKeyIsReadFromOneAuthorizationField)
+{
+    WireHeaders const headers;
+    Proxy::MessageHead head;
+    auto const keyOf = [&](std::vector<Proxy::HeaderField> fields) {
+        head.fields = std::move(fields);
+        return headers.readRequest(head).apiKey;
+    };
+    BOOST_TEST(keyOf({ { "authorization", "token  g3aj" } }) == "g3aj");
+    for (auto const* const text : { "", "Token", "Token ", "Tokeng3aj", "Bearer g3aj" })
+        BOOST_TEST(keyOf({ { "Authorization", text } }).empty(), text);
+    BOOST_TEST(keyOf({ { "Authorization", "Token a" }, { "Authorization", "Token b" } }).empty());
+    BOOST_TEST(headers.replacesField("authorization", true));
+    BOOST_TEST(!headers.replacesField("Authorization", false));
+    BOOST_TEST(headers.replacesField("x-tenant", false));
+    auto const fields = headers.headerFieldsFor({ "i-1" }, 1s, Core::WorkspaceName { "kaje80" });
+    BOOST_TEST(std::ranges::count(fields, "kaje80", &Proxy::HeaderField::value) == 1);
+    BOOST_TEST(fields.back().name == "X-Tenant");
+}
+
+BOOST_AUTO_TEST_CASE(TheQuotaOfATenantAndPublicRoutesAreRead)
+{
+    auto const change = parseChange(R"({"Upsert":{"Tenants":[{"Name":"a","ApiKeys":["k"],"Priority":1,"RatePerS":393,)"
+                                    R"("Burst":39.5,"Version":7},{"Name":"b","ApiKeys":[],"Version":7}]}})");
+    BOOST_REQUIRE(!change.isError());
+    auto const& first = change.value().workspaces.at(0);
+    BOOST_TEST(first.priority.value_or(9) == 1);
+    BOOST_TEST(first.ratePerSecond == 393);
+    BOOST_TEST(first.burst == 39.5);
+    BOOST_TEST(!change.value().workspaces.at(1).priority.has_value());
+    BOOST_TEST(change.value().workspaces.at(1).ratePerSecond == 0);
+    auto const open = parseChange(routeWith("Public", "true"));
+    BOOST_REQUIRE(!open.isError());
+    BOOST_TEST(open.value().routes.front().isPublic);
+    BOOST_TEST(parseChange(routeWith("Public", "7")).isError());
+}
+
 BOOST_AUTO_TEST_CASE(ALimitIsADecimalNumberThatIsNamedOnce)
 {
     WireHeaders const headers;
