Run pipelined safe requests side by side and bound what callers make a process hold

Cause: a connection had one exchange, so each pipelined request waited for those before it. The limit of a body held for one body, refused bodies were held until the connection closed, a body was copied twice on its way to the server, and connections had no limit. Change: HttpConnection hands over safe requests before earlier ones are answered, answers in order and closes behind the last one that was handed over. Requests and answers of a process share one memory limit, from the machine's memory; the large request without progress for longest gives way. Connections have a limit, and idle ones give way. Bodies are sent without a copy.

--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -30,6 +30,7 @@
     : gateway_(gateway)
     , id_(id)
     , request_(std::move(request))
+    , body_(std::make_shared<std::string const>(std::move(request_.body)))
 {
 }
 
@@ -155,7 +156,7 @@
 
 std::string Exchange::fingerprint() const
 {
-    auto const digest = Core::digest128(request_.head.method + " " + request_.head.target + "\n" + request_.body);
+    auto const digest = Core::digest128(request_.head.method + " " + request_.head.target + "\n" + *body_);
     return Core::RequestId { digest.high, digest.low }.toString();
 }
 
@@ -350,7 +351,7 @@
     outgoing.attemptId = metadata_.attemptId;
     outgoing.expectsNoBody = request_.head.method == "HEAD";
     outgoing.isIdempotent = isSafe();
-    auto& bytes = outgoing.bytes;
+    auto& bytes = outgoing.head;
     bytes.append(request_.head.method).append(" ").append(request_.head.target).append(" HTTP/1.1\r\n");
     auto forwarded = request_.head;
     auto const hasWorkspaces = gateway_.view_.hasWorkspaces();
@@ -359,9 +360,10 @@
     Proxy::appendForwardedFields(bytes, forwarded);
     for (auto const& field : gateway_.codec_.headerFieldsFor(server.record.name, remainingTime(), workspace_))
         Proxy::appendField(bytes, field.name, field.value);
-    if (!request_.body.empty() || request_.head.contentLength || request_.head.isChunked)
-        Proxy::appendField(bytes, "Content-Length", std::to_string(request_.body.size()));
-    bytes.append("\r\n").append(request_.body);
+    if (!body_->empty() || request_.head.contentLength || request_.head.isChunked)
+        Proxy::appendField(bytes, "Content-Length", std::to_string(body_->size()));
+    bytes.append("\r\n");
+    outgoing.body = body_;
     auto& load = gateway_.loadOf(server.record);
     wasIdleAtSend_ = load.occupancy(gateway_.loop_.now()) + 1 <= load.slots();
     connection_ = gateway_.serverConnections_.send(server.record, outgoing, gateway_.connectionLimit(pool), *this);
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -105,7 +105,9 @@
 
     Gateway& gateway_;
     Net::ExchangeId id_;
+    /// Without the body.
     Net::HttpRequest request_;
+    std::shared_ptr<std::string const> body_;
     RequestMetadata metadata_;
     /// The workspace whose API key the request has.
     std::optional<Core::WorkspaceName> workspace_;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -14,12 +14,9 @@
     /// The limit of a cold server holds for any second at the server. The delay between sending and arrival varies by
     /// up to 100 ms, which widens the window.
     constexpr Core::Duration coldStartWindow = std::chrono::milliseconds(1100);
-    /// Memory limit for the bodies of requests, and of answers that are being read or sent. A host may have only 160
-    /// MB.
-    constexpr std::uint64_t maxHeldBodyBytes = 96UL * 1024 * 1024;
-    /// Memory limit for the answers that callers have not taken yet. Together with those that are being read, they
-    /// take no more than all bodies may.
-    constexpr std::uint64_t maxUnsentAnswerBytes = 72UL * 1024 * 1024;
+    /// The part of the memory limit for answers that are being read is one divided by this. The rest is that for
+    /// answers that callers have not taken yet, so that together they take no more than the limit.
+    constexpr std::uint64_t readAnswersDivisor = 4;
     /// Smaller answers are never given up for lack of memory.
     constexpr std::size_t minBoundedAnswerBytes = 64UL * 1024;
     constexpr std::size_t maxSuspicions = 1000;
@@ -37,7 +34,7 @@
     , view_(random_.next())
     , reservations_(loop)
     , workspaceLimiter_(loop, settings.quotas)
-    , serverConnections_(loop, codec, settings.linkBytesPerSecond)
+    , serverConnections_(loop, codec, settings.linkBytesPerSecond, settings.memory.maxHeldBytes / readAnswersDivisor)
 {
 }
 
@@ -46,7 +43,11 @@
 bool Gateway::listen(Core::Endpoint const& endpoint)
 {
     server_ = Net::HttpServer::open(loop_, endpoint, *this);
-    return server_ != nullptr;
+    if (!server_)
+        return false;
+    server_->setMemoryLimit(settings_.memory.maxHeldBytes);
+    server_->setMaxConnections(settings_.memory.maxConnections);
+    return true;
 }
 
 void Gateway::startDraining(Core::TimePoint deadline)
@@ -100,19 +101,26 @@
 
 void Gateway::onRequest(Net::ExchangeId id, Net::HttpRequest request)
 {
-    if (server_->heldBodyBytes() + heldAnswerBytes() > maxHeldBodyBytes) {
-        Net::HttpResponse response;
-        response.status = 503;
-        response.fields.push_back({ "Retry-After", "0.5" });
-        server_->respond(id, std::move(response));
-        return;
-    }
     auto exchange = std::make_unique<Exchange>(*this, id, std::move(request));
     auto& started = *exchange;
     exchanges_.emplace(id, std::move(exchange));
     started.start();
 }
 
+bool Gateway::mayRunBesideOthers(Proxy::MessageHead const& head)
+{
+    auto const target = std::string_view(head.target);
+    auto const* const route = view_.findRoute(head.find("Host").value_or(""), target.substr(0, target.find('?')));
+    return route && route->kind == Fleet::RequestKind::Safe;
+}
+
+void Gateway::onMemoryRefusal(std::size_t bytes)
+{
+    events_.write(Telemetry::EventId::MemoryLimitReached,
+        { { "refusedBytes", bytes }, { "requestBytes", server_->heldBodyBytes() },
+            { "answerBytes", heldAnswerBytes() } });
+}
+
 void Gateway::onAbandoned(Net::ExchangeId id)
 {
     auto node = exchanges_.extract(id);
@@ -137,7 +145,8 @@
 
 bool Gateway::hasRoomForAnswer(std::size_t bytes)
 {
-    return bytes < minBoundedAnswerBytes || server_->unsentAnswerBytes() + bytes <= maxUnsentAnswerBytes;
+    auto const limit = settings_.memory.maxHeldBytes - settings_.memory.maxHeldBytes / readAnswersDivisor;
+    return bytes < minBoundedAnswerBytes || server_->unsentAnswerBytes() + bytes <= limit;
 }
 
 void Gateway::finish(Net::ExchangeId id, Net::HttpResponse response)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -18,6 +18,15 @@
 
 class Exchange;
 
+/// What a process may hold for callers and servers.
+struct MemorySettings {
+    /// Bodies of requests, and answers that are being read or sent, in bytes. Three fifths of the memory of the
+    /// smallest host that the platform has.
+    std::uint64_t maxHeldBytes { 96UL * 1024 * 1024 };
+    /// Connections of callers.
+    std::size_t maxConnections { 2048 };
+};
+
 struct GatewaySettings {
     /// The name of this entry host.
     std::string name;
@@ -32,6 +41,7 @@
     /// Bandwidth of this host's network link in each direction, in bytes a second; zero if it is not a bottleneck.
     double linkBytesPerSecond { 0 };
     Fleet::QuotaBounds quotas;
+    MemorySettings memory;
 };
 
 /// The request path of one entry host. Must be used on the thread of the event loop.
@@ -75,6 +85,9 @@
     friend class Exchange;
 
     void onRequest(Net::ExchangeId, Net::HttpRequest) override;
+    bool mayRunBesideOthers(Proxy::MessageHead const&) override;
+    std::size_t heldBytes() override { return heldAnswerBytes(); }
+    void onMemoryRefusal(std::size_t) override;
     void onAbandoned(Net::ExchangeId) override;
     void onAnswerCutOff(Net::ExchangeId, std::size_t unsentBytes) override;
     void finish(Net::ExchangeId, Net::HttpResponse);
--- a/Libraries/LibGateway/ServerConnections.cpp
+++ b/Libraries/LibGateway/ServerConnections.cpp
@@ -21,10 +21,6 @@
     /// reset a connection, and the reset travels for half a round trip between failure domains.
     constexpr Core::Duration settleTime = std::chrono::milliseconds(3);
 
-    /// Memory limit for all answers that are being read. A host may have only 160 MB, of which request bodies take up
-    /// to 96 MiB.
-    constexpr std::size_t maxAnswerBytes = 24UL * 1024 * 1024;
-
     Net::HttpClientSettings connectionSettings(Net::BulkPacer& pacer, Net::AnswerBudget& budget)
     {
         Net::HttpClientSettings settings;
@@ -55,7 +51,7 @@
         handler_ = &handler;
         attemptId_ = request.attemptId;
         remember(attemptId_);
-        client_.send(request.bytes, request.expectsNoBody);
+        client_.send(request.head, request.body, request.expectsNoBody);
     }
     void abandon()
     {
@@ -126,7 +122,8 @@
     Net::HttpClient client_;
 };
 
-ServerConnections::ServerConnections(Net::EventLoop& loop, RequestCodec const& codec, double linkBytesPerSecond)
+ServerConnections::ServerConnections(
+    Net::EventLoop& loop, RequestCodec const& codec, double linkBytesPerSecond, std::size_t maxAnswerBytes)
     : loop_(loop)
     , codec_(codec)
     , pacer_(linkBytesPerSecond)
--- a/Libraries/LibGateway/ServerConnections.h
+++ b/Libraries/LibGateway/ServerConnections.h
@@ -18,7 +18,9 @@
 
 /// A serialized request for `ServerConnections::send`.
 struct OutgoingRequest {
-    std::string bytes;
+    std::string head;
+    /// Null if there is none. It is not copied, since a host may hold few bodies of the largest size.
+    std::shared_ptr<std::string const> body;
     std::string attemptId;
     bool expectsNoBody { false };
     /// Whether the request may be retried, so that it may use a connection that the server might be closing.
@@ -29,7 +31,8 @@
 class ServerConnections {
 public:
     /// `linkBytesPerSecond` is the bandwidth of this host's network link; zero if it is not a bottleneck.
-    ServerConnections(Net::EventLoop&, RequestCodec const&, double linkBytesPerSecond);
+    /// `maxAnswerBytes` is the memory limit for all answers that are being read.
+    ServerConnections(Net::EventLoop&, RequestCodec const&, double linkBytesPerSecond, std::size_t maxAnswerBytes);
     ~ServerConnections();
     ServerConnections(ServerConnections const&) = delete;
     ServerConnections& operator=(ServerConnections const&) = delete;
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -9,6 +9,10 @@
 namespace {
 
     constexpr std::size_t bodyChunkBytes = 16UL * 1024;
+    /// A body up to this size is sent with the head, in one call.
+    constexpr std::size_t maxCopiedBodyBytes = 16UL * 1024;
+    /// The bytes of a request that the stream may hold.
+    constexpr std::size_t maxPendingBytes = 64UL * 1024;
     constexpr std::uint16_t firstFinalStatus = 200;
     /// Messages before the answer that are skipped. A server in trouble may send them without end; a sound one sends an
     /// informational answer or two, or the late answer to an earlier request.
@@ -78,25 +82,48 @@
     sendMore();
 }
 
+std::size_t HttpClient::waitingBytes() const { return requestBytes_ - handedBytes_; }
+
+std::string_view HttpClient::waiting() const
+{
+    if (handedBytes_ < head_.size())
+        return std::string_view(head_).substr(handedBytes_);
+    return requestBody_ ? std::string_view(*requestBody_).substr(handedBytes_ - head_.size()) : std::string_view {};
+}
+
+void HttpClient::onDrained(Stream&)
+{
+    if (isSettled_ && sendTimer_.number == 0 && waitingBytes() > 0)
+        sendMore();
+}
+
 void HttpClient::sendMore()
 {
     sendTimer_ = {};
-    auto* const pacer = unsent_.size() >= BulkPacer::minBulkBytes ? settings_.pacer : nullptr;
-    while (stream_.isOpen() && unsentBegin_ < unsent_.size()) {
-        auto const rest = std::string_view(unsent_).substr(unsentBegin_);
+    auto* const pacer = requestBytes_ >= BulkPacer::minBulkBytes ? settings_.pacer : nullptr;
+    // The rest follows once the stream is drained, so that a large body is not held twice.
+    while (stream_.isOpen() && waitingBytes() > 0 && stream_.pendingBytes() < maxPendingBytes) {
+        auto const rest = waiting().substr(0, maxPendingBytes);
         auto const count = pacer ? pacer->take(loop_.now(), rest.size()) : rest.size();
         if (pacer && count == 0) {
             sendTimer_ = loop_.after(pacer->nextAt() - loop_.now(), [this] { sendMore(); });
             return;
         }
-        unsentBegin_ += count;
+        handedBytes_ += count;
         stream_.write(rest.substr(0, count));
     }
-    Core::releaseMemory(unsent_);
-    unsentBegin_ = 0;
+    if (waitingBytes() == 0)
+        dropRequest();
+}
+
+void HttpClient::dropRequest()
+{
+    Core::releaseMemory(head_);
+    requestBody_.reset();
+    handedBytes_ = requestBytes_;
 }
 
-void HttpClient::send(std::string_view bytes, bool expectsNoBody)
+void HttpClient::send(std::string_view head, std::shared_ptr<std::string const> body, bool expectsNoBody)
 {
     isBusy_ = true;
     expectsNoBody_ = expectsNoBody;
@@ -104,9 +131,15 @@
     reader_ = std::nullopt;
     hasHead_ = false;
     skipped_ = 0;
-    unsent_ = bytes;
-    unsentBegin_ = 0;
-    requestBytes_ = bytes.size();
+    head_ = head;
+    requestBody_ = std::move(body);
+    // One write for both.
+    if (requestBody_ && requestBody_->size() <= maxCopiedBodyBytes) {
+        head_.append(*requestBody_);
+        requestBody_.reset();
+    }
+    handedBytes_ = 0;
+    requestBytes_ = head_.size() + (requestBody_ ? requestBody_->size() : 0);
     if (isSettled_)
         sendMore();
 }
@@ -221,9 +254,10 @@
         return;
     }
     // After an answer that came before the end of a body, nothing else may be sent where the rest is due.
-    if (!answer.head.keepsAlive || !stream_.input().isEmpty() || !unsent_.empty())
+    if (!answer.head.keepsAlive || !stream_.input().isEmpty() || waitingBytes() > 0)
         isReusable_ = false;
     loop_.cancel(sendTimer_);
+    dropRequest();
     isBusy_ = false;
     lastUsed_ = loop_.now();
     stream_.input().releaseMemory();
@@ -242,6 +276,7 @@
     isBusy_ = false;
     loop_.cancel(sendTimer_);
     dropBody();
+    requestBody_.reset();
     stream_.close();
 }
 
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -66,15 +66,15 @@
     HttpClient(EventLoop&, HttpClientHandler&, Core::Endpoint const&, HttpClientSettings const&);
     ~HttpClient() override;
 
-    /// Sends a request. `expectsNoBody` for the method HEAD.
-    void send(std::string_view bytes, bool expectsNoBody);
+    /// Sends a request. The body may be null; it is not copied unless it is small. `expectsNoBody` for the method HEAD.
+    void send(std::string_view head, std::shared_ptr<std::string const> body, bool expectsNoBody);
     /// Ends the exchange and the connection without an event. Nothing more is sent, also not in this turn.
     void close();
     bool isBusy() const { return isBusy_; }
     /// Whether the kernel has taken a part of the request. Until then the server has none of it.
     bool hasBegunToSend() const { return unsentBytes() < requestBytes_; }
     /// Bytes of the request that wait for the connection or the pacer, or that the kernel has not taken.
-    std::size_t unsentBytes() const { return unsent_.size() - unsentBegin_ + stream_.pendingBytes(); }
+    std::size_t unsentBytes() const { return waitingBytes() + stream_.pendingBytes(); }
     /// The server keeps the connection open and nothing unexpected arrived on it.
     bool isReusable() const { return isReusable_ && stream_.isOpen(); }
     /// How long the server keeps an idle connection, if it says so.
@@ -84,13 +84,19 @@
 private:
     void onConnected(Stream&) override;
     void onData(Stream&) override;
+    void onDrained(Stream&) override;
     void onEnd(Stream&, StreamEnd) override;
     void settle();
+    /// Bytes of the request that were not handed to the stream.
+    std::size_t waitingBytes() const;
+    /// The next bytes of the request that were not handed to the stream.
+    std::string_view waiting() const;
     /// Hands over as much of the request as the pacer allows, and goes on later with the rest.
     void sendMore();
     bool readAnswer();
     /// False when more input is needed or the exchange has failed.
     bool readHead();
+    void dropRequest();
     /// Keeps a piece of the body. False if the exchange has failed.
     bool keep(std::string_view piece);
     void dropBody();
@@ -104,8 +110,12 @@
     Stream stream_;
     /// The request waits until the connection has lasted for the settle time.
     bool isSettled_ { false };
-    std::string unsent_;
-    std::size_t unsentBegin_ { 0 };
+    /// The head, and a small body.
+    std::string head_;
+    /// A large body; null if there is none, or if nothing of it is left to send.
+    std::shared_ptr<std::string const> requestBody_;
+    /// Bytes of the request that were handed to the stream.
+    std::size_t handedBytes_ { 0 };
     std::size_t requestBytes_ { 0 };
     /// For the settle time, and for the next piece of a large body.
     EventLoop::TimerId sendTimer_;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -3,6 +3,7 @@
 #include <LibNet/Stream.h>
 #include <LibProxy/HttpMessage.h>
 
+#include <limits>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -48,13 +49,25 @@
     virtual ~HttpHandler() = default;
     /// Answered by `HttpServer::respond`, at once or later.
     virtual void onRequest(ExchangeId, HttpRequest) = 0;
+    /// Whether a request may run while earlier ones of its connection are not answered. True only for requests that may
+    /// be repeated.
+    virtual bool mayRunBesideOthers(Proxy::MessageHead const&) { return false; }
+    /// Memory, in bytes, that the handler holds for requests and answers besides the bodies of the requests.
+    virtual std::size_t heldBytes() { return 0; }
+    /// A request of this size was refused while it was being read, for lack of memory.
+    virtual void onMemoryRefusal(std::size_t) { }
     /// The caller left before its answer.
     virtual void onAbandoned(ExchangeId) { }
     /// This side closed the connection while a part of the answer had not been handed to the network.
     virtual void onAnswerCutOff(ExchangeId, std::size_t) { }
 };
 
-/// Serves HTTP/1.1 on one address. Requests are read whole before they are handed over, one at a time a connection.
+class HttpConnection;
+
+/// Serves HTTP/1.1 on one address. Requests are read whole before they are handed over.
+///
+/// All requests together are bounded in memory, and connections in number: callers that stop just short of the end of
+/// their requests, or send without end, must not take the memory and the descriptors of the host.
 class HttpServer {
 public:
     /// Null when the address cannot be used; `errno` says why.
@@ -64,6 +77,11 @@
     HttpServer& operator=(HttpServer const&) = delete;
 
     void setLimits(HttpLimits const& limits) { limits_ = limits; }
+    /// The memory for requests and answers, in bytes. Beyond it, large requests that are being read are refused, the
+    /// one without progress for longest first.
+    void setMemoryLimit(std::uint64_t bytes) { maxHeldBytes_ = bytes; }
+    /// Beyond it, the connection that has been idle for longest is closed for each new one.
+    void setMaxConnections(std::size_t connections) { maxConnections_ = connections; }
     /// Does nothing if the caller is gone.
     void respond(ExchangeId, HttpResponse);
     /// From now on every answer closes its connection.
@@ -83,23 +101,29 @@
     std::uint64_t unsentAnswerBytes();
 
 private:
-    class Connection;
-    friend class Connection;
+    friend class HttpConnection;
 
     HttpServer(EventLoop&, HttpHandler&);
     void accept(int fd);
     void drop(std::uint64_t connection);
+    void closeLeastActive();
+    std::uint64_t heldBytes();
+    /// Refuses requests that are being read until the memory limit holds.
+    void makeRoom(HttpConnection const& reading);
+    HttpConnection* findLeastActiveReader(std::size_t minBytes);
 
     EventLoop& loop_;
     HttpHandler& handler_;
     HttpLimits limits_;
     bool isDraining_ { false };
     std::uint64_t heldBodyBytes_ { 0 };
+    std::uint64_t maxHeldBytes_ { std::numeric_limits<std::uint64_t>::max() };
+    std::size_t maxConnections_ { std::numeric_limits<std::size_t>::max() };
     /// Connections whose last answer the kernel did not take at once.
     std::unordered_set<std::uint64_t> sending_;
     std::uint64_t nextConnection_ { 1 };
     std::unique_ptr<Listener> listener_;
-    std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<HttpConnection>> connections_;
 };
 
 /// The usual phrase of a status code; "Status" for others.
--- a/Libraries/LibNet/Stream.cpp
+++ b/Libraries/LibNet/Stream.cpp
@@ -213,6 +213,7 @@
     outputBegin_ = 0;
     wantsWrite_ = false;
     updateInterest();
+    handler_.onDrained(*this);
 }
 
 void Stream::updateInterest()
--- a/Libraries/LibNet/Stream.h
+++ b/Libraries/LibNet/Stream.h
@@ -31,6 +31,8 @@
     virtual void onConnected(Stream&) { }
     /// New bytes are in `Stream::input`.
     virtual void onData(Stream&) = 0;
+    /// The kernel has taken all bytes that waited.
+    virtual void onDrained(Stream&) { }
     /// No further event follows.
     virtual void onEnd(Stream&, StreamEnd) = 0;
 };
--- a/Libraries/LibTelemetry/Event.h
+++ b/Libraries/LibTelemetry/Event.h
@@ -76,6 +76,7 @@
     ServerLeavingUnreadable = 414,
     ServerSilent = 415,
     ServerSilenceUnreadable = 416,
+    MemoryLimitReached = 417,
     // Dispatch: 500 to 599.
     DispatcherAppointed = 500,
     DispatcherDismissed = 501,
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -153,7 +153,7 @@
     {
         EndlessServer server(loop, std::move(beginning), std::move(repeated));
         HttpClient client(loop, receiver, server.address, settings);
-        client.send(requestOf(10), false);
+        client.send(requestOf(10), nullptr, false);
         BOOST_TEST(runUntil(
             loop, [&] { return receiver.failures == 1; }, soon));
         BOOST_TEST(runUntil(
@@ -179,7 +179,7 @@
     settings.pacer = &pacer;
     HttpClient client(loop, receiver, server.address, settings);
     auto const request = requestOf(100'000);
-    client.send(request, false);
+    client.send(request, nullptr, false);
     BOOST_TEST(runUntil(loop, [&] { return receiver.answers == 1; }));
     BOOST_TEST(!receiver.isReusable);
     auto const received = server.received;
@@ -200,7 +200,7 @@
     settings.pacer = &pacer;
     HttpClient client(loop, receiver, server.address, settings);
     auto const small = requestOf(100);
-    client.send(small, false);
+    client.send(small, nullptr, false);
     BOOST_TEST(runUntil(loop, [&] { return receiver.answers == 1; }));
     BOOST_TEST(receiver.isReusable);
     BOOST_TEST(server.received == small.size());
@@ -214,7 +214,7 @@
     EndlessServer server(loop, "HTTP/1.1 304 Not Modified\r\nContent-Length: 20000000\r\n\r\n", {});
     AnswerReceiver receiver;
     HttpClient client(loop, receiver, server.address, {});
-    client.send(requestOf(10), false);
+    client.send(requestOf(10), nullptr, false);
     BOOST_TEST(runUntil(loop, [&] { return receiver.answers + receiver.failures == 1; }));
     BOOST_TEST(receiver.answers == 1);
 }
@@ -235,7 +235,7 @@
     PiecewiseServer server(loop, { head + std::string(firstBytes, 'a'), std::string(bodyBytes - firstBytes, 'a') });
     AnswerReceiver receiver;
     HttpClient client(loop, receiver, server.address, settings);
-    client.send(requestOf(10), false);
+    client.send(requestOf(10), nullptr, false);
     BOOST_TEST(runUntil(loop, [&] { return receiver.answers + receiver.failures == 1; }));
     BOOST_TEST(receiver.answers == 1);
 }
@@ -258,7 +258,7 @@
                 BreakingServer server(loop, whole.substr(0, length), resets);
                 AnswerReceiver receiver;
                 HttpClient client(loop, receiver, server.address, {});
-                client.send(requestOf(10), false);
+                client.send(requestOf(10), nullptr, false);
                 BOOST_TEST(runUntil(loop, [&] { return receiver.answers + receiver.failures == 1; }));
                 BOOST_TEST(receiver.answers == 0, whole.substr(0, length));
             }
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -36,12 +36,20 @@
     {
         ++requests;
         last = id;
-        if (isSilent)
-            return;
+        received.emplace_back(id, request.head.method + request.head.target + request.body);
+        if (!isSilent)
+            answer(received.size() - 1);
+    }
+    void answer(std::size_t index)
+    {
         Net::HttpResponse response;
-        response.body = body.empty() ? request.head.method + request.head.target + request.body : body;
-        server->respond(id, response);
+        if (index >= received.size())
+            return;
+        response.body = body.empty() ? received[index].second : body;
+        server->respond(received[index].first, response);
     }
+    bool mayRunBesideOthers(Proxy::MessageHead const& head) override { return head.target.starts_with("/safe/"); }
+    void onMemoryRefusal(std::size_t) override { ++refusedForMemory; }
     void onAbandoned(Net::ExchangeId) override { ++abandoned; }
     void onAnswerCutOff(Net::ExchangeId, std::size_t) override { ++cutOff; }
 
@@ -52,9 +60,13 @@
     int requests { 0 };
     int abandoned { 0 };
     int cutOff { 0 };
+    int refusedForMemory { 0 };
     Net::ExchangeId last;
+    std::vector<std::pair<Net::ExchangeId, std::string>> received;
 };
 
+std::string get(std::string const& target) { return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n"; }
+
 /// A caller behind a slow link: nothing is read until `readAnswer`.
 class SlowCaller {
 public:
@@ -131,6 +143,208 @@
     BOOST_TEST(peer.received.find("POST/axy") < peer.received.find("GET/b"));
 }
 
+// Load: a caller sends safe requests without waiting for answers. They were run one after the other, so that each
+// waited for all before it.
+BOOST_AUTO_TEST_CASE(SafeRequestsOfOneConnectionRunSideBySideAndAreAnsweredInOrder)
+{
+    echo.isSilent = true;
+    Peer peer(loop, address);
+    peer.stream->write(get("/safe/1") + get("/safe/2") + get("/safe/3"));
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 3; }));
+    echo.answer(2);
+    echo.answer(1);
+    runFor(loop, 50ms);
+    BOOST_TEST(peer.received.empty());
+    echo.answer(0);
+    BOOST_TEST(receives(peer, "GET/safe/3"));
+    auto const at = [&](int n) { return peer.received.find("GET/safe/" + std::to_string(n)); };
+    BOOST_TEST(at(1) < at(2));
+    BOOST_TEST(at(2) < at(3));
+    BOOST_TEST(server->heldBodyBytes() == 0);
+}
+
+// A request that must not be repeated must not run while an earlier answer may still close the connection, since its
+// caller would send it again.
+BOOST_AUTO_TEST_CASE(AnUnsafeRequestRunsAlone)
+{
+    echo.isSilent = true;
+    Peer peer(loop, address);
+    peer.stream->write(get("/safe/1") + "POST /unsafe/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+        + get("/safe/3") + "POST /unsafe/4 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    for (int i = 1; i <= 4; ++i) {
+        runFor(loop, 50ms);
+        BOOST_TEST(echo.requests == i);
+        echo.answer(static_cast<std::size_t>(i) - 1);
+    }
+    BOOST_TEST(receives(peer, "POST/unsafe/4"));
+    BOOST_TEST(peer.received.find("POST/unsafe/2body") != std::string::npos);
+}
+
+// Requests behind an answer that closes the connection count as not read, so none may have been run.
+BOOST_AUTO_TEST_CASE(NothingIsRunBehindAClosingAnswer)
+{
+    echo.isSilent = true;
+    Peer peer(loop, address);
+    peer.stream->write(
+        get("/safe/1") + "GET /safe/2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + get("/safe/3"));
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 2; }));
+    echo.answer(1);
+    echo.answer(0);
+    BOOST_TEST(receives(peer, "GET/safe/2"));
+    BOOST_TEST(runUntil(loop, [&] { return peer.end.has_value(); }));
+    BOOST_TEST(echo.requests == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerClosesNoConnectionOnWhichALaterRequestRuns)
+{
+    echo.isSilent = true;
+    Peer peer(loop, address);
+    peer.stream->write(get("/safe/1") + get("/safe/2"));
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 2; }));
+    server->startDraining();
+    peer.stream->write(get("/safe/3"));
+    runFor(loop, 50ms);
+    BOOST_TEST(echo.requests == 2);
+    echo.answer(0);
+    BOOST_TEST(receives(peer, "GET/safe/1"));
+    BOOST_TEST(peer.received.find("close") == std::string::npos);
+    echo.answer(1);
+    BOOST_TEST(receives(peer, "GET/safe/2"));
+    BOOST_TEST(peer.received.find("Connection: close") != std::string::npos);
+    BOOST_TEST(runUntil(loop, [&] { return peer.end.has_value(); }));
+    BOOST_TEST(echo.requests == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AnErrorBehindARequestIsAnsweredAfterIt)
+{
+    echo.isSilent = true;
+    Peer peer(loop, address);
+    peer.stream->write(get("/safe/1") + "no request\r\n\r\n");
+    runFor(loop, 50ms);
+    BOOST_TEST(peer.received.empty());
+    echo.answer(0);
+    BOOST_TEST(receives(peer, "400 Bad Request"));
+    BOOST_TEST(peer.received.find("GET/safe/1") < peer.received.find("400 Bad Request"));
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatLeavesAbandonsAllItsRequests)
+{
+    echo.isSilent = true;
+    Peer peer(loop, address);
+    peer.stream->write(get("/safe/1") + get("/safe/2") + get("/safe/3"));
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 3; }));
+    echo.answer(1);
+    peer.stream->close();
+    BOOST_TEST(runUntil(loop, [&] { return echo.abandoned == 2; }));
+    runFor(loop, 20ms);
+    BOOST_TEST(echo.abandoned == 2);
+}
+
+// Load: a caller that sends requests without end. Their number and the answers that wait are bounded.
+BOOST_AUTO_TEST_CASE(TheRequestsInProgressOfAConnectionAreBounded)
+{
+    echo.isSilent = true;
+    Peer peer(loop, address);
+    std::string requests;
+    for (int i = 0; i < 40; ++i)
+        requests += get("/safe/" + std::to_string(i));
+    peer.stream->write(requests);
+    runFor(loop, 100ms);
+    BOOST_TEST(echo.requests == 16);
+    // Answers behind the first one wait for it, and then no further request is read.
+    echo.body = std::string(100UL * 1024, 'b');
+    for (std::size_t i = 1; i < 5; ++i)
+        echo.answer(i);
+    runFor(loop, 50ms);
+    BOOST_TEST(echo.requests == 16);
+    echo.body.clear();
+    for (std::size_t i = 0; i < 40; ++i) {
+        echo.answer(i);
+        runFor(loop, 5ms);
+    }
+    BOOST_TEST(receives(peer, "GET/safe/39"));
+}
+
+// Load: crowds of large bodies that stop short of their end. All of them together took the memory of the process.
+BOOST_AUTO_TEST_CASE(TheBodiesOfAllRequestsAreBounded)
+{
+    constexpr std::size_t limit = 1UL << 20;
+    server->setMemoryLimit(limit);
+    std::vector<std::unique_ptr<Peer>> crowd;
+    for (int i = 0; i < 12; ++i) {
+        crowd.push_back(std::make_unique<Peer>(loop, address));
+        crowd.back()->stream->write(
+            "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n" + std::string(299'000, 'b'));
+        runFor(loop, 20ms);
+        BOOST_TEST(server->heldBodyBytes() <= limit);
+    }
+    BOOST_TEST(echo.refusedForMemory >= 9);
+    BOOST_TEST(crowd.front()->received.find("503 Service Unavailable") != std::string::npos);
+    BOOST_TEST(crowd.front()->received.find("Retry-After") != std::string::npos);
+    Peer ordinary(loop, address);
+    ordinary.stream->write(get("/safe/x"));
+    BOOST_TEST(receives(ordinary, "GET/safe/x"));
+    // The rest of a body that was not refused is still taken.
+    crowd.back()->stream->write(std::string(1'000, 'b'));
+    BOOST_TEST(receives(*crowd.back(), "200 OK"));
+}
+
+// Load: many bodies, each too small to give way first.
+BOOST_AUTO_TEST_CASE(ManySmallBodiesAreBounded)
+{
+    constexpr std::size_t limit = 1UL << 20;
+    server->setMemoryLimit(limit);
+    std::vector<std::unique_ptr<Peer>> crowd;
+    for (int i = 0; i < 60; ++i) {
+        crowd.push_back(std::make_unique<Peer>(loop, address));
+        crowd.back()->stream->write(
+            "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n" + std::string(49'000, 'b'));
+        runFor(loop, 5ms);
+        BOOST_TEST(server->heldBodyBytes() <= limit + limit / 8);
+    }
+    Peer ordinary(loop, address);
+    ordinary.stream->write(get("/safe/x"));
+    BOOST_TEST(receives(ordinary, "GET/safe/x"));
+}
+
+// A body of which the limit was exceeded was held until the connection closed.
+BOOST_AUTO_TEST_CASE(ARefusedBodyIsNotHeld)
+{
+    Net::HttpLimits limits;
+    limits.maxBodyBytes = 100'000;
+    server->setLimits(limits);
+    Peer peer(loop, address);
+    peer.stream->write(
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n" + std::string(200'000, 'b'));
+    BOOST_TEST(receives(peer, "413 Content Too Large"));
+    BOOST_TEST(server->heldBodyBytes() == 0);
+    BOOST_TEST(server->connectionCount() == 1);
+}
+
+// Load: connections that send half a head and stay open took the descriptors of the process.
+BOOST_AUTO_TEST_CASE(ConnectionsAreBoundedAndIdleOnesGiveWay)
+{
+    server->setMaxConnections(4);
+    echo.isSilent = true;
+    Peer running(loop, address);
+    running.stream->write(get("/safe/running"));
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 1; }));
+    std::vector<std::unique_ptr<Peer>> crowd;
+    for (int i = 0; i < 10; ++i) {
+        crowd.push_back(std::make_unique<Peer>(loop, address));
+        crowd.back()->stream->write("GET / HT");
+        runFor(loop, 5ms);
+        BOOST_TEST(server->connectionCount() <= 4);
+    }
+    Peer ordinary(loop, address);
+    ordinary.stream->write(get("/safe/x"));
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 2; }));
+    echo.answer(0);
+    echo.answer(1);
+    BOOST_TEST(receives(running, "GET/safe/running"));
+    BOOST_TEST(receives(ordinary, "GET/safe/x"));
+}
+
 BOOST_AUTO_TEST_CASE(BytesThatAreNoRequestAreRejected)
 {
     Peer peer(loop, address);
--- a/Tests/LibNet/TestIdleMemory.cpp
+++ b/Tests/LibNet/TestIdleMemory.cpp
@@ -59,7 +59,7 @@
         clients.push_back(std::make_unique<Net::HttpClient>(loop, receiver, address, Net::HttpClientSettings {}));
         auto request = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(largeBytes) + "\r\n\r\n";
         request.append(largeBytes, 'b');
-        clients.back()->send(request, false);
+        clients.back()->send(request, nullptr, false);
         BOOST_REQUIRE(runUntil(loop, [&] { return receiver.receivedBytes == largeBytes; }));
     }
     runFor(loop, 50ms);
--- a/Tests/Platform/TestWire.cpp
+++ b/Tests/Platform/TestWire.cpp
@@ -22,6 +22,8 @@
 data-directory =
 heartbeat-interval-s = 0.87
 link-mbps = 5.3
+memory-mb = 160
+max-descriptors =
 
 [listen]
 callers = 10.1.0.10:8161
