Place requests by cost, and take no partial answer for a whole one

Cause: no entry host knew what others had sent, all requests of a pool counted alike, and each host met each server. An answer without a length that was reset while the upload was being written looked complete (the failed write takes the socket's error); the daemon forwarded status 000. Change: hosts learn the relative cost of requests, sum what they have in flight by it, and use a subset of the servers of a pool without keys first. An answer without a length counts only if the whole request was sent; a status below 100 is malformed. Tests of both answers fail without the fixes.

--- a/Libraries/LibGateway/Admission.cpp
+++ b/Libraries/LibGateway/Admission.cpp
@@ -75,7 +75,8 @@
 
 Core::Duration Admission::maxReservationWait(AdmissionQuery const& query, ServerLoad const& server)
 {
-    auto const service = std::chrono::duration_cast<Core::Duration>(server.serviceTime() * minServiceTimeFraction);
+    auto const service
+        = std::chrono::duration_cast<Core::Duration>(server.serviceTimeOf(query.cost) * minServiceTimeFraction);
     auto const reserved = query.isReturning ? 0.0 : reservedPerPriorityStep * priorityStep(query.priority);
     auto const wait = std::min(query.remaining, waitLimit(query)) - service;
     return std::clamp(
@@ -94,7 +95,7 @@
 {
     auto const wait = server.expectedWait(now);
     auto const needed
-        = wait + std::chrono::duration_cast<Core::Duration>(server.serviceTime() * minServiceTimeFraction);
+        = wait + std::chrono::duration_cast<Core::Duration>(server.serviceTimeOf(query.cost) * minServiceTimeFraction);
     auto const reserved
         = query.isReturning ? 0.0 : reservedPerPriorityStep * priorityStep(query.priority) * server.slots();
     auto const limit = wait > Core::Duration::zero() ? std::min(query.remaining, waitLimit(query)) : query.remaining;
--- a/Libraries/LibGateway/Admission.h
+++ b/Libraries/LibGateway/Admission.h
@@ -18,6 +18,8 @@
     bool isReturning { false };
     /// A random number, uniform in [0, 1), that spreads the retries of refused callers over time.
     double jitter { 0 };
+    /// The cost of the request relative to the average one of its pool, see `RequestCosts`.
+    double cost { 1 };
 };
 
 /// A refusal of a request that no server has run, with the estimates that led to it.
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -130,6 +130,7 @@
         return false;
     }
     pool_ = share->pool;
+    cost_ = gateway_.costs_.relativeCost({ pool_, route_, body_->size() });
     gateway_.retryBudgetOf(pool_).countRequest(gateway_.loop_.now());
     if (gateway_.view_.isQuarantined(fingerprint())) {
         refuse("quarantined", defaultRetryAfter);
@@ -252,7 +253,8 @@
 
 AdmissionQuery Exchange::admissionQuery()
 {
-    return { remainingTime(), targetTime_ - gateway_.loop_.now(), priority_, isReturning_, gateway_.random_.unit() };
+    return { remainingTime(), targetTime_ - gateway_.loop_.now(), priority_, isReturning_, gateway_.random_.unit(),
+        cost_ };
 }
 
 void Exchange::dispatchToAnyServer(Fleet::PoolItem const& pool)
@@ -261,6 +263,8 @@
     auto const reservedServer = std::exchange(reservedServer_, 0);
     std::vector<Fleet::ViewServer const*> servers;
     std::vector<ServerCandidate> candidates;
+    auto const& subset = gateway_.subsetOf(pool_);
+    auto const poolMean = gateway_.costs_.meanServiceTime(pool_);
     std::optional<Core::Duration> shortestSilence;
     auto areAllLimited = true;
     for (auto const& [number, server] : gateway_.view_.servers()) {
@@ -278,7 +282,11 @@
         servers.push_back(&server);
         auto const wait = load.expectedWait(now);
         ServerCandidate candidate;
-        candidate.expectedLatency = wait + load.serviceTime();
+        candidate.needsConnection = !gateway_.serverConnections_.hasIdleConnection(number);
+        if (auto const place = std::ranges::find(subset, number); place != subset.end())
+            candidate.subsetPlace = static_cast<std::size_t>(place - subset.begin());
+        candidate.expectedLatency
+            = wait + load.expectedServiceTime(cost_, poolMean, candidate.subsetPlace.has_value(), now);
         candidate.isInSameDomain = server.record.domain == gateway_.settings_.failureDomain;
         if (reservedServer != 0)
             candidate.isPreferred = number == reservedServer;
@@ -369,7 +377,7 @@
     connection_ = gateway_.serverConnections_.send(server.record, outgoing, gateway_.connectionLimit(pool), *this);
     if (!connection_)
         return false;
-    load.onSent();
+    load.onSent(cost_);
     ++sends_;
     server_ = server.record.number;
     sentAt_ = gateway_.loop_.now();
@@ -399,7 +407,7 @@
     if (!connection_ || server_ != number || ServerConnections::hasBegunToSend(*connection_))
         return;
     if (auto const* const server = gateway_.view_.findServer(number))
-        gateway_.loadOf(server->record).onDone();
+        gateway_.loadOf(server->record).onDone(cost_);
     gateway_.serverConnections_.abandon(std::exchange(connection_, nullptr));
     --sends_;
     dispatch();
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -119,6 +119,8 @@
     Core::PoolName pool_;
     Fleet::RequestKind kind_ { Fleet::RequestKind::Unsafe };
     std::int32_t priority_ { 0 };
+    /// The cost of the request relative to the average one of its pool.
+    double cost_ { 1 };
     std::uint32_t maxAttempts_ { 1 };
     std::uint32_t sends_ { 0 };
     Core::TimePoint deadline_;
--- a/Libraries/LibGateway/ExchangeOutcomes.cpp
+++ b/Libraries/LibGateway/ExchangeOutcomes.cpp
@@ -39,7 +39,7 @@
     connection_ = nullptr;
     if (auto const* const server = gateway_.view_.findServer(server_)) {
         auto& load = gateway_.loadOf(server->record);
-        load.onDone();
+        load.onDone(cost_);
         if (isMisdirected)
             load.onMisdirected(gateway_.loop_.now());
         else
@@ -54,8 +54,9 @@
         }
         auto const serviceTime = ServerLoad::serviceTimeOf(elapsed, wasIdleAtSend_, metadata.load);
         if (!metadata.isNotRun && serviceTime) {
-            load.onServiceTime(*serviceTime);
-            gateway_.countLatency(server_, *serviceTime);
+            load.onServiceTime(*serviceTime, cost_);
+            gateway_.costs_.record({ pool_, route_, body_->size() }, *serviceTime);
+            gateway_.countLatency(server_, std::chrono::duration_cast<Core::Duration>(*serviceTime / cost_));
         }
     }
     if (metadata.isNotRun || isMisdirected) {
@@ -120,7 +121,7 @@
     auto const now = gateway_.loop_.now();
     auto const* const server = gateway_.view_.findServer(server_);
     if (server)
-        gateway_.loadOf(server->record).onDone();
+        gateway_.loadOf(server->record).onDone(cost_);
     gateway_.events_.write(EventId::RequestOutcomeUnknown,
         { { "request", metadata_.attemptId }, { "route", route_.value },
             { "server", server ? server->record.name.value : "" }, { "failure", Net::toString(failure) },
@@ -210,7 +211,7 @@
         return;
     }
     if (auto const* const server = gateway_.view_.findServer(server_))
-        gateway_.loadOf(server->record).onDone();
+        gateway_.loadOf(server->record).onDone(cost_);
     auto const hasBegunToSend = ServerConnections::hasBegunToSend(*connection_);
     gateway_.serverConnections_.abandon(std::exchange(connection_, nullptr));
     if (hasBegunToSend)
@@ -233,7 +234,7 @@
     if (!connection_)
         return;
     if (auto const* const server = gateway_.view_.findServer(server_))
-        gateway_.loadOf(server->record).onDone();
+        gateway_.loadOf(server->record).onDone(cost_);
     gateway_.serverConnections_.abandon(std::exchange(connection_, nullptr));
 }
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include <LibCore/Hash.h>
 #include <LibGateway/Exchange.h>
+#include <LibGateway/ServerSubset.h>
 
 #include <algorithm>
 
@@ -80,6 +81,9 @@
         coldStartLimiters_.erase(number);
         backpressures_.erase(number);
     }
+    if (update.isWhole || update.entryHosts || update.evacuated || !update.servers.empty()
+        || !update.removedServers.empty())
+        subsets_.clear();
     applyRequestLimits(update);
     for (auto const& occupancy : update.occupancies.rows) {
         if (auto const* const server = view_.findServer(occupancy.server))
@@ -162,6 +166,20 @@
     return loads_.try_emplace(server.number, server.slots).first->second;
 }
 
+std::vector<Fleet::ServerNumber> const& Gateway::subsetOf(Core::PoolName const& pool)
+{
+    auto const [found, isNew] = subsets_.try_emplace(pool);
+    if (!isNew)
+        return found->second;
+    std::vector<Fleet::ServerRecord const*> servers;
+    for (auto const& [number, server] : view_.servers()) {
+        if (server.record.pool == pool && view_.mayServe(server.record))
+            servers.push_back(&server.record);
+    }
+    found->second = ServerSubset::choose(servers, rotatedShare(0), settings_.failureDomain);
+    return found->second;
+}
+
 RetryBudgetShare& Gateway::retryBudgetOf(Core::PoolName const& pool)
 {
     return retryBudgets_.try_emplace(pool, settings_.retries).first->second;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -3,6 +3,7 @@
 #include <LibCore/Random.h>
 #include <LibGateway/CallerPatience.h>
 #include <LibGateway/PoolSplit.h>
+#include <LibGateway/RequestCosts.h>
 #include <LibGateway/Reservations.h>
 #include <LibGateway/RetryBudgetShare.h>
 #include <LibGateway/SendShareLimiter.h>
@@ -94,6 +95,8 @@
     /// Calls the function for each exchange. The function may end the exchange.
     void forEachExchange(std::function<void(Exchange&)> const&);
     ServerLoad& loadOf(Fleet::ServerRecord const&);
+    /// The servers of a pool without keys that this host uses first, in the order of preference.
+    std::vector<Fleet::ServerNumber> const& subsetOf(Core::PoolName const&);
     RetryBudgetShare& retryBudgetOf(Core::PoolName const&);
     bool tryRetry(Core::PoolName const&);
     bool tryAcquireColdSend(Fleet::ViewServer const&, Fleet::PoolItem const&);
@@ -136,6 +139,9 @@
     Core::Random random_;
     Fleet::View view_;
     std::map<Fleet::ServerNumber, ServerLoad> loads_;
+    RequestCosts costs_;
+    /// Computed on demand, and cleared when servers or entry hosts change.
+    std::map<Core::PoolName, std::vector<Fleet::ServerNumber>> subsets_;
     std::map<Fleet::ServerNumber, SendShareLimiter> coldStartLimiters_;
     /// The servers that have asked for anything since they joined.
     std::map<Fleet::ServerNumber, ServerBackpressure> backpressures_;
--- a/Libraries/LibGateway/ServerChoice.h
+++ b/Libraries/LibGateway/ServerChoice.h
@@ -3,6 +3,7 @@
 #include <LibCore/Random.h>
 #include <LibCore/Time.h>
 
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -14,6 +15,10 @@
     Core::Duration expectedLatency {};
     /// Whether the server is in the failure domain of this entry host.
     bool isInSameDomain { false };
+    /// Whether a connection must be opened, which costs the server some work.
+    bool needsConnection { false };
+    /// The place of the server in the subset that this host uses first, see `ServerSubset`. Empty for others.
+    std::optional<std::size_t> subsetPlace;
     /// Whether the server is tried before all others.
     bool isPreferred { false };
     /// Whether the server is tried after all others, since its last answers could not be read.
@@ -23,8 +28,9 @@
 /// Determines the order in which the servers of a pool without keys are tried.
 ///
 /// Prevents herding: many entry hosts choose at the same time, with load information that is seconds old, and 77 hosts
-/// that all choose the apparently fastest server fill its queue while others are idle. Each host compares a few random
-/// servers, two in its own failure domain and two in others, and takes the best; the rest follow in random order.
+/// that all choose the apparently fastest server fill its queue while others are idle. Each host compares the servers
+/// of its own subset and a few random ones, two in its own failure domain and two in others, and takes the best; the
+/// rest follow in random order.
 class ServerChoice {
 public:
     /// Returns the indices of the candidates in the order in which they are to be tried.
--- a/Libraries/LibGateway/ServerConnections.cpp
+++ b/Libraries/LibGateway/ServerConnections.cpp
@@ -164,6 +164,12 @@
     return started;
 }
 
+bool ServerConnections::hasIdleConnection(Fleet::ServerNumber number) const
+{
+    auto const server = servers_.find(number);
+    return server != servers_.end() && !server->second.idle.empty();
+}
+
 void ServerConnections::abandon(ServerConnection* connection)
 {
     connection->abandon();
--- a/Libraries/LibGateway/ServerConnections.h
+++ b/Libraries/LibGateway/ServerConnections.h
@@ -44,6 +44,8 @@
     /// the connection is abandoned.
     ServerConnection* send(
         Fleet::ServerRecord const&, OutgoingRequest const&, std::size_t maxConnections, AnswerHandler&);
+    /// Whether an idle connection to the server is open.
+    bool hasIdleConnection(Fleet::ServerNumber) const;
     /// Closes the connection, which tells the server that the request is cancelled.
     void abandon(ServerConnection*);
     /// Whether the server may have received a part of the request.
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -12,6 +12,12 @@
     /// An estimate of the control leader is disregarded after this time. The leader repeats it every three seconds.
     constexpr Core::Duration maxEstimateAge = std::chrono::seconds(5);
     constexpr double serviceTimeSmoothing = 0.2;
+    /// Servers share their machines with others, whose load changes several times a second.
+    constexpr std::chrono::duration<double> slownessHalfLife { 0.2 };
+    /// A server that is to be tried counts as faster than the mean of its pool by this.
+    constexpr double triedFraction = 0.7;
+    constexpr double minSlowness = 0.2;
+    constexpr double maxSlowness = 10;
     /// Maximum number of requests at a server for each of its slots. A server refuses, or never answers, requests that
     /// exceed its own queue, and all entry hosts fill that queue without knowing of each other.
     constexpr double maxOccupancyPerSlot = 4.0;
@@ -26,11 +32,43 @@
 
 } // namespace
 
+void ServerLoad::onSent(double cost)
+{
+    ++inFlight_;
+    inFlightCost_ += cost;
+}
+
+void ServerLoad::onDone(double cost)
+{
+    inFlight_ -= std::min(inFlight_, 1U);
+    inFlightCost_ = inFlight_ == 0 ? 0 : std::max(inFlightCost_ - cost, 0.0);
+}
+
+Core::Duration ServerLoad::serviceTimeOf(double cost) const
+{
+    return std::chrono::duration_cast<Core::Duration>(serviceTime_ * cost);
+}
+
+Core::Duration ServerLoad::expectedServiceTime(
+    double cost, Core::Duration poolMean, bool isToBeTried, Core::TimePoint now) const
+{
+    if (hasServiceTime_ || poolMean == Core::Duration::zero())
+        return std::chrono::duration_cast<Core::Duration>(serviceTimeOf(cost) * currentSlowness(now));
+    return std::chrono::duration_cast<Core::Duration>(poolMean * (cost * (isToBeTried ? triedFraction : 1)));
+}
+
+double ServerLoad::currentSlowness(Core::TimePoint now) const
+{
+    auto const age = std::chrono::duration<double>(now - reportedAt_);
+    return 1 + (slowness_ - 1) * std::exp2(-age / slownessHalfLife);
+}
+
 void ServerLoad::onReport(ServerLoadReport const& report, Core::TimePoint now)
 {
     if (report.slots > 0)
         slots_ = report.slots;
     othersAtReport_ = std::max(0.0, static_cast<double>(report.running) + report.waiting - inFlight_);
+    slowness_ = std::clamp(report.slowness, minSlowness, maxSlowness);
     reportedAt_ = now;
 }
 
@@ -38,8 +76,10 @@
 {
     estimatedRequests_ = requests;
     estimatedAt_ = now;
-    if (serviceTime > Core::Duration::zero())
+    if (serviceTime > Core::Duration::zero()) {
         serviceTime_ = serviceTime;
+        hasServiceTime_ = true;
+    }
 }
 
 std::optional<Core::Duration> ServerLoad::serviceTimeOf(
@@ -52,10 +92,12 @@
     return std::chrono::duration_cast<Core::Duration>(elapsed / (1 + ahead));
 }
 
-void ServerLoad::onServiceTime(Core::Duration time)
+void ServerLoad::onServiceTime(Core::Duration time, double cost)
 {
-    auto const difference = static_cast<double>((time - serviceTime_).count()) * serviceTimeSmoothing;
+    auto const average = std::chrono::duration_cast<Core::Duration>(time / cost);
+    auto const difference = static_cast<double>((average - serviceTime_).count()) * serviceTimeSmoothing;
     serviceTime_ += Core::Duration(static_cast<Core::Duration::rep>(difference));
+    hasServiceTime_ = true;
 }
 
 void ServerLoad::onUnreachable(Core::TimePoint now)
@@ -96,10 +138,13 @@
 
 Core::Duration ServerLoad::expectedWait(Core::TimePoint now) const
 {
-    auto const ahead = occupancy(now) + 1 - slots_;
+    auto const requests = occupancy(now);
+    auto const ahead = requests + 1 - slots_;
     if (ahead <= 0)
         return {};
-    return std::chrono::duration_cast<Core::Duration>(serviceTime_ * (ahead / slots_));
+    // The requests of other hosts count as average ones.
+    auto const costOfEach = requests > 0 ? (requests - inFlight_ + inFlightCost_) / requests : 1.0;
+    return std::chrono::duration_cast<Core::Duration>(serviceTime_ * (costOfEach * ahead / slots_));
 }
 
 bool ServerLoad::hasRoom(Core::TimePoint now, double reserved) const
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -17,14 +17,16 @@
     {
     }
 
-    void onSent() { ++inFlight_; }
-    /// Records that a sent request was answered or abandoned.
-    void onDone() { inFlight_ -= std::min(inFlight_, 1U); }
+    /// `cost` is the cost of the request relative to the average one, see `RequestCosts`.
+    void onSent(double cost = 1);
+    /// Records that a sent request of this cost was answered or abandoned.
+    void onDone(double cost = 1);
     void onReport(ServerLoadReport const&, Core::TimePoint now);
     /// Records the control leader's estimate of the requests of all entry hosts at the server, and of the service time,
     /// which is zero if unknown.
     void onEstimate(double requests, Core::Duration serviceTime, Core::TimePoint now);
-    void onServiceTime(Core::Duration);
+    /// Records the service time of a request of this relative cost.
+    void onServiceTime(Core::Duration, double cost = 1);
     /// Estimates the service time of an answered request without its queueing delay. Uses the queue length that the
     /// server reports: on an overloaded server every request is queued, so that it would otherwise never be measured as
     /// slow. Empty if the server reports no load and may have been busy.
@@ -52,8 +54,17 @@
     double occupancy(Core::TimePoint now) const;
     /// The expected queueing delay of one more request.
     Core::Duration expectedWait(Core::TimePoint now) const;
-    /// The smoothed service time: how long a request takes once it has a slot.
+    /// The smoothed service time: how long an average request takes once it has a slot.
     Core::Duration serviceTime() const { return serviceTime_; }
+    /// How long a request of this relative cost takes once it has a slot.
+    Core::Duration serviceTimeOf(double cost) const;
+    /// How long a request of this relative cost is expected to take now. A server that was not measured counts as an
+    /// average one of its pool, whose mean service time is zero if unknown, or as a faster one if it is to be tried.
+    Core::Duration expectedServiceTime(
+        double cost, Core::Duration poolMean, bool isToBeTried, Core::TimePoint now) const;
+    /// How much slower than usual the server is now, according to its last report; 1 is normal. A report counts for a
+    /// moment only.
+    double currentSlowness(Core::TimePoint now) const;
     /// Whether one more request fits into the slots and a bounded queue, of which `reserved` places are kept for more
     /// urgent requests.
     bool hasRoom(Core::TimePoint now, double reserved) const;
@@ -61,6 +72,10 @@
 private:
     std::uint32_t slots_;
     std::uint32_t inFlight_ { 0 };
+    /// The sum of the relative costs of the requests in flight.
+    double inFlightCost_ { 0 };
+    double slowness_ { 1 };
+    bool hasServiceTime_ { false };
     double othersAtReport_ { 0 };
     Core::TimePoint reportedAt_;
     double estimatedRequests_ { 0 };
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -305,8 +305,9 @@
         fail(ExchangeFailure::NoAnswer);
         return;
     }
-    // Only an orderly end completes an answer that has no length.
-    if (reason == StreamEnd::EndOfStream && reader_->finishAtEndOfStream()) {
+    // Only an orderly end completes an answer that has no length. A server that closes its connection before it has the
+    // whole request resets it, which may look like an orderly end here.
+    if (reason == StreamEnd::EndOfStream && unsentBytes() == 0 && reader_->finishAtEndOfStream()) {
         isReusable_ = false;
         finishAnswer();
         if (isBusy_)
--- a/Libraries/LibProxy/Attempt.cpp
+++ b/Libraries/LibProxy/Attempt.cpp
@@ -207,7 +207,10 @@
             TRY(waitForServer(0, false));
             continue;
         }
-        if (received.status == IoStatus::Closed && response_.endsWithStream() && response_.finishAtEndOfStream())
+        // A reset while the request was being sent may look like an orderly end: the failed write took the error of the
+        // socket. A server that closes its connection before it has the whole request resets it, too.
+        if (received.status == IoStatus::Closed && isBodySent_ && response_.endsWithStream()
+            && response_.finishAtEndOfStream())
             return std::size_t { 0 };
         if (received.status != IoStatus::Done)
             return fail(AttemptOutcome::ConnectionLost, Reason::ConnectionLost);
--- a/Libraries/LibProxy/HttpMessage.cpp
+++ b/Libraries/LibProxy/HttpMessage.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+    /// The parser takes any three digits.
+    constexpr std::uint16_t minStatus = 100;
+
     using RequestParser = Http::request_parser<Http::buffer_body>;
     using ResponseParser = Http::response_parser<Http::buffer_body>;
 
@@ -96,6 +99,7 @@
 
 MessageReader::MessageReader(MessageKind kind, std::uint32_t maxHeadBytes)
     : parser_(std::make_unique<Parser>())
+    , isResponse_(kind == MessageKind::Response)
 {
     if (kind == MessageKind::Response)
         parser_->parser.emplace<ResponseParser>();
@@ -130,6 +134,8 @@
             return false;
         }
         head_ = toHead(parser);
+        if (isResponse_ && head_.status < minStatus)
+            return ParseError { ParseErrorKind::Malformed, "status below 100" };
         if (hasUnsupportedFraming(head_))
             return ParseError { ParseErrorKind::Malformed, "unsupported transfer coding" };
         parser.eager(true);
--- a/Libraries/LibProxy/HttpMessage.h
+++ b/Libraries/LibProxy/HttpMessage.h
@@ -76,6 +76,7 @@
 private:
     struct Parser;
     std::unique_ptr<Parser> parser_;
+    bool isResponse_;
     MessageHead head_;
 };
 
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -39,6 +39,29 @@
     std::unique_ptr<Listener> listener_;
 };
 
+/// A server that sends a part of an answer without a length once a request begins, and ends the connection in order or
+/// with a reset. It reads nothing.
+class HastyServer {
+public:
+    HastyServer(EventLoop& loop, bool isReset)
+        : listener_(Listener::open(loop, address, [&loop, isReset](int fd) {
+            constexpr std::string_view part = "HTTP/1.1 200 OK\r\n\r\npart";
+            loop.after(20ms, [fd, isReset, part] {
+                BOOST_TEST(::send(fd, part.data(), part.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(part.size()));
+                if (!isReset)
+                    ::shutdown(fd, SHUT_WR);
+            });
+            loop.after(60ms, [fd] { ::close(fd); });
+        }))
+    {
+    }
+
+    Core::Endpoint const address { "127.0.0.1", freePort() };
+
+private:
+    std::unique_ptr<Listener> listener_;
+};
+
 /// A server that answers in pieces, with a pause after each.
 class PiecewiseServer final : private StreamHandler {
 public:
@@ -168,6 +191,22 @@
 
 } // namespace
 
+// MIXED: a server answers a long upload at once, without a length, and ends the connection while the upload is still being
+// written. What it sent is a part of an answer.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthThatEndsBeforeTheRequestWasSentIsNotComplete)
+{
+    for (auto const isReset : { false, true }) {
+        EventLoop loop;
+        HastyServer server(loop, isReset);
+        AnswerReceiver receiver;
+        HttpClient client(loop, receiver, server.address, {});
+        client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 8000000\r\n\r\n",
+            std::make_shared<std::string const>(8'000'000, 'u'), false);
+        BOOST_TEST(runUntil(loop, [&] { return receiver.failures + receiver.answers > 0; }));
+        BOOST_TEST(receiver.answers == 0);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AConnectionWhoseBodyWasCutShortByAnEarlyAnswerIsNotUsedAgain)
 {
     EventLoop loop;
--- a/Tests/LibProxy/TestStreams.cpp
+++ b/Tests/LibProxy/TestStreams.cpp
@@ -133,6 +133,47 @@
     }
 }
 
+// MIXED: a server answers a long upload at once, without a length, and resets the connection while the upload is still
+// being written. The failed write takes the error of the socket, so that reading sees an orderly end.
+BOOST_AUTO_TEST_CASE(AnEarlyAnswerWithoutLengthThatIsResetIsNotComplete)
+{
+    for (int i = 0; i < 20; ++i) {
+        FakeBackend backend([i](Peer& peer, FakeBackend&) {
+            std::vector<char> buffer(4096);
+            pollfd polled { peer.socket().descriptor(), POLLIN, 0 };
+            Proxy::waitFor({ &polled, 1 }, Core::BootClock::now() + 5s);
+            peer.socket().receive(buffer);
+            peer.send("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n" + std::string(600, 'p'));
+            std::this_thread::sleep_for(std::chrono::milliseconds(i));
+            peer.socket().resetOnClose();
+            peer.close();
+        });
+        Fixture const fixture({ &backend });
+        auto peer = fixture.connect();
+        constexpr std::size_t bodyBytes = 8UL * 1024 * 1024;
+        std::thread upload([&peer] {
+            peer.send("POST /letters/7 HTTP/1.1\r\nHost: h\r\n" + lengthField(bodyBytes) + std::string(bodyBytes, 'u'));
+        });
+        auto const response = peer.readToEnd();
+        upload.join();
+        auto const isComplete = statusOf(response) == "200" && response.ends_with("\r\n0\r\n\r\n");
+        BOOST_TEST(!isComplete, "round " << i);
+    }
+}
+
+// MIXED: a server in trouble sends a status that is none, and the caller gets it as an answer.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutAStatusIsNotForwarded)
+{
+    for (std::string const status : { "000", "000 OK", "001 OK", "099 x" }) {
+        FakeBackend backend([&](Peer& peer, FakeBackend& self) {
+            self.next(peer);
+            peer.send("HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nno");
+        });
+        Fixture const fixture({ &backend });
+        BOOST_TEST(statusOf(fixture.request("POST /letters/7 HTTP/1.1\r\nHost: h\r\n\r\n")) == "502", status);
+    }
+}
+
 // A server that ended its connection within the head of its response must not give a response with an empty body.
 BOOST_AUTO_TEST_CASE(AResponseWhoseHeadBreaksOffIsNotForwarded)
 {
