--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -60,7 +60,7 @@
     int requests { 0 };
     int abandoned { 0 };
     int cutOff { 0 };
-    int refusedForMemory { 0 };
+    std::size_t refusedForMemory { 0 };
     Net::ExchangeId last;
     std::vector<std::pair<Net::ExchangeId, std::string>> received;
 };
@@ -172,6 +172,7 @@
     peer.stream->write(get("/safe/1") + "POST /unsafe/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
         + get("/safe/3") + "POST /unsafe/4 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
     for (int i = 1; i <= 4; ++i) {
+        BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests >= i; }));
         runFor(loop, 50ms);
         BOOST_TEST(echo.requests == i);
         echo.answer(static_cast<std::size_t>(i) - 1);
@@ -249,6 +250,7 @@
     for (int i = 0; i < 40; ++i)
         requests += get("/safe/" + std::to_string(i));
     peer.stream->write(requests);
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests >= 16; }));
     runFor(loop, 100ms);
     BOOST_TEST(echo.requests == 16);
     // Answers behind the first one wait for it, and then no further request is read.
@@ -259,8 +261,8 @@
     BOOST_TEST(echo.requests == 16);
     echo.body.clear();
     for (std::size_t i = 0; i < 40; ++i) {
+        BOOST_REQUIRE(runUntil(loop, [&] { return echo.received.size() > i; }));
         echo.answer(i);
-        runFor(loop, 5ms);
     }
     BOOST_TEST(receives(peer, "GET/safe/39"));
 }
@@ -275,7 +277,9 @@
         crowd.push_back(std::make_unique<Peer>(loop, address));
         crowd.back()->stream->write(
             "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n" + std::string(299'000, 'b'));
-        runFor(loop, 20ms);
+        // Each body has arrived, and is held or was refused.
+        auto const arrived = [&] { return echo.refusedForMemory + server->heldBodyBytes() / 299'000; };
+        BOOST_REQUIRE(runUntil(loop, [&] { return arrived() >= crowd.size(); }));
         BOOST_TEST(server->heldBodyBytes() <= limit);
     }
     BOOST_TEST(echo.refusedForMemory >= 9);
