--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,7 +1,5 @@
-"""Clients send safe requests behind one that takes long. The answers that wait for it fill the memory of the edge machine.
-
-Without the trouble, the same clients wait for each answer before they send the next request.
-"""
+"""An operator changes a configuration of some hundred routes some hundred times, while its acknowledgements are lost for a
+while. The log of the control machines grows in memory with each call, and no snapshot bounds it."""
 
 import asyncio
 import os
@@ -11,105 +9,132 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-2"))
 import fleet as f  # noqa: E402
 
-HOST = "cartas.example"
-# confirma-gw has 283 clients for its edge machines; 70 of them use one of the three here.
-CLIENTS = 70
-BEHIND = 15
-# The largest body of the site has 360,000 bytes.
-ANSWER_BYTES = 300_000
-LONG_S = 3.5
-# How long the clients take to send their requests.
-SPREAD_S = 2.6
-MEMORY_MB = 260
-DEADLINE_S = 6.0
-
-
-class Worker(f.Worker):
-    passed_on = {}
-
-    async def run(self, attempt, method, path, fields, body):
-        Worker.passed_on[attempt] = time.monotonic()
-        is_report = path.startswith("/informe/")
-        await asyncio.sleep(LONG_S if is_report else 0.02)
-        return b"x" * (400 if is_report else ANSWER_BYTES)
-
-
-async def pipeline(fleet, edge, paths, outcomes, is_pipelined):
-    """Sends all requests on one kept connection and reads the answers in their order."""
-    attempts = [f.new_attempt(fleet) for _ in paths]
-    for attempt in attempts:
-        outcomes[attempt] = None
-    writer = None
-    try:
-        reader, writer = await asyncio.open_connection(edge.address, fleet.edge_port)
-        texts = [("GET %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n"
-                  % (path, HOST, attempt, DEADLINE_S * 1000)).encode() for attempt, path in zip(attempts, paths)]
-        if is_pipelined:
-            writer.write(b"".join(texts))
-        for attempt, text in zip(attempts, texts):
-            if not is_pipelined:
-                writer.write(text)
-            line, fields = await asyncio.wait_for(f.read_head(reader), DEADLINE_S + 1)
-            await asyncio.wait_for(f.read_body(reader, fields), DEADLINE_S + 1)
-            outcomes[attempt] = int(line.split(" ")[1])
-            fleet.record.say("client got %d for %s" % (outcomes[attempt], attempt))
-            if fields.get("connection") == "close":
-                break
-    except (OSError, EOFError, asyncio.TimeoutError) as error:
-        fleet.record.say("a connection with %d requests ends: %r" % (len(paths), error))
-    finally:
-        if writer:
-            writer.transport.abort()
+# tmw-gate: 110 idle routes, those of the three kinds of requests, and big_config with a count of 388.
+ROUTES = 500
+# "A day may be long and may contain hundreds of changes"; "Up to eight orders may be in progress at once".
+CHANGES = 900
+AT_ONCE = 8
+# config_storm of confirma-gw: a change each 0.06 s. ack_lost there: a share of 0.6, for 14 s.
+GAP_S = 0.06
+LOST_SHARE = 0.6
+LOST_S = 14.0
+MEMORY_MB = 256
+READ_BACK_S = 20.0
+
+
+def routes(version):
+    return [f.route("r-%07x" % index, "ficu%02d.example" % (index % 50), "/lohu%04d/" % index, None, "safe",
+                    Version=version, Service=None) for index in range(ROUTES)]
+
+
+def complete(route):
+    """Routes split their requests, as in the example of the pages."""
+    route = {name: value for name, value in route.items() if value is not None}
+    route["TrafficSplit"] = [{"Service": "huvo11a", "Weight": 90}, {"Service": "wuno96b", "Weight": 10}]
+    return route
+
+
+async def change(fleet, version, lost_until, sends):
+    """Sends the same change again, to any node, until its acknowledgement has arrived."""
+    body = {"Upsert": {"Routes": [complete(route) for route in routes(version)]}}
+    while True:
+        sends[0] += 1
+        status, _ = await fleet.call_control(fleet.random.choice(fleet.core).address, "PATCH", "/-/config", body)
+        is_lost = time.monotonic() < lost_until and fleet.random.random() < LOST_SHARE
+        if status is not None and 400 <= status < 500 and status not in (408, 429):
+            raise f.Unusable("a change was refused with %d" % status)
+        if status == 200 and not is_lost:
+            fleet.record.say("change %d is acknowledged" % version)
+            return
+        await asyncio.sleep(0.1)
 
 
 async def watch_memory(fleet, ends, peaks):
     """The platform kills a process that uses more than its memory, and starts it again after a short delay."""
+    async def restart(core):
+        await asyncio.sleep(0.3)
+        core.start(bootstrap=False)
+
     while True:
-        for edge in fleet.edge:
-            if not edge.is_running():
+        for core in fleet.core:
+            if not core.is_running():
                 continue
-            resident = edge.resident_mb()
-            peaks[edge.name] = max(peaks.get(edge.name, 0), resident)
+            resident = core.resident_mib()
+            peaks[core.name] = max(peaks.get(core.name, 0), resident)
             if resident > MEMORY_MB:
-                fleet.record.tell("%s uses %.0f MB of %d MB and is killed" % (edge.name, resident, MEMORY_MB))
-                ends.append((time.monotonic(), edge.name))
-                edge.kill()
-                edge.process.wait()
-                edge.start(bootstrap=False)
+                fleet.record.say("%6.1f s: %s uses %.0f MiB of %d MB and is killed"
+                                  % (fleet.record.now(), core.name, resident, MEMORY_MB))
+                ends.append(core.name)
+                core.kill()
+                core.process.wait()
+                fleet.spawn(restart(core))
         await asyncio.sleep(0.02)
 
 
+def is_down(ends, fleet):
+    """Whether the processes of half of the core have ended by themselves three times."""
+    return sum(1 for core in fleet.core if ends.count(core.name) >= 3) * 2 >= len(fleet.core)
+
+
 async def play(record, has_trouble):
-    fleet = f.Fleet(record, edges=3, edge_memory_mb=MEMORY_MB)
+    fleet = f.Fleet(record, edges=3)
+    acknowledged = [1]
     try:
-        await fleet.start({
-            "Routes": [f.route("r-lista", HOST, "/lista/", "lista", "safe", TimeoutS=5.0, TargetLatencyS=2.0),
-                       f.route("r-informe", HOST, "/informe/", "informe", "safe", TimeoutS=5.0, TargetLatencyS=4.0)],
-            "Services": [f.service("lista", WarmupS=0.0), f.service("informe", WarmupS=0.0)], "Limits": f.LIMITS})
-        for index in range(6):
-            await Worker(fleet, "lista", f.ZONES[index % 3], slots=4).start()
-            await Worker(fleet, "informe", f.ZONES[index % 3], slots=16).start()
+        await fleet.start({"Routes": [complete(route) for route in routes(1)],
+                           "Services": [f.service("huvo11a"), f.service("wuno96b")], "Limits": f.LIMITS})
         await fleet.wait_ready()
-        await asyncio.sleep(3)
-        ends, peaks, outcomes = [], {}, {}
+        ends, peaks, sends = [], {}, [0]
         fleet.spawn(watch_memory(fleet, ends, peaks))
-        edge = fleet.edge[0]
-        loads = []
-        for index in range(CLIENTS):
-            paths = ["/informe/x"] + ["/lista/x"] * BEHIND
-            loads.append(asyncio.ensure_future(pipeline(fleet, edge, paths, outcomes, has_trouble)))
-            await asyncio.sleep(SPREAD_S / CLIENTS)
-        await asyncio.gather(*loads)
-        lost = [attempt for attempt, status in outcomes.items() if status is None and attempt in Worker.passed_on]
-        served = sum(1 for status in outcomes.values() if status == 200)
-        refused = sum(1 for status in outcomes.values() if status == 503)
-        record.tell("%d requests: %d served, %d refused, %d passed on and without an answer; peak %s MB"
-                    % (len(outcomes), served, refused, len(lost), {name: round(peak) for name, peak in peaks.items()}))
-        broken = []
-        if ends and len(lost) > 3:
-            broken.append("LOST: %d requests were passed on to sound workers and their connections ended without an answer, "
-                          "as the process used more than MemoryMb" % len(lost))
-        return broken
+        began = time.monotonic()
+        lost_until = began + LOST_S if has_trouble else 0
+        places = asyncio.Semaphore(AT_ONCE)
+
+        async def one(version):
+            try:
+                await change(fleet, version, lost_until, sends)
+                acknowledged.append(version)
+            finally:
+                places.release()
+
+        orders = []
+        for version in range(2, CHANGES + 2):
+            try:
+                await asyncio.wait_for(places.acquire(), 5)
+            except asyncio.TimeoutError:
+                break
+            orders.append(fleet.spawn(one(version)))
+            await asyncio.sleep(GAP_S)
+            if time.monotonic() - began > 70 or is_down(ends, fleet):
+                break
+        await asyncio.wait(orders, timeout=3)
+        for order in orders:
+            order.cancel()
+        record.tell("%6.1f s: %d calls, %d changes acknowledged, newest %d; peak %s MiB" % (
+            record.now(), sends[0], len(acknowledged) - 1, max(acknowledged),
+            {name: round(peak) for name, peak in sorted(peaks.items())}))
+        # The operator reads back what stands. Nobody sends anything else.
+        end = time.monotonic() + READ_BACK_S
+        answer = None
+        while time.monotonic() < end and answer is None:
+            status, text = await fleet.call_control(fleet.random.choice(fleet.core).address, "GET", "/-/config", None)
+            if status == 200:
+                answer = text
+            else:
+                await asyncio.sleep(0.2)
+        if answer is not None:
+            found = f.json.loads(answer)["Routes"]
+            oldest = min((route["Version"] for route in found), default=0)
+            record.tell("%6.1f s: read back %d routes, the oldest version is %d" % (record.now(), len(found), oldest))
+            if len(found) < ROUTES or oldest < max(acknowledged):
+                return ["CONFIG: read back, items are missing or older than their acknowledged version"]
+        count = {name: ends.count(name) for name in sorted(set(ends))}
+        record.tell("ends by memory: %s" % count)
+        if answer is None:
+            return ["CONFIG: nothing comes in %.0f s of reading back; LOST: %d acknowledged changes are out of reach"
+                    % (READ_BACK_S, len(acknowledged) - 1)]
+        if is_down(ends, fleet):
+            return ["Fault: processes of half of the core end by themselves three times: %s" % count]
+        return []
     finally:
         await fleet.stop()
 
--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -136,11 +136,11 @@
     def kill(self, how=signal.SIGKILL):
         self.process.send_signal(how)
 
-    def resident_mb(self):
+    def resident_mib(self):
         try:
             with open("/proc/%d/status" % self.process.pid, encoding="utf-8") as file:
                 found = re.search(r"VmRSS:\s+(\d+) kB", file.read())
-            return int(found.group(1)) * 1024 / 1e6 if found else 0
+            return int(found.group(1)) / 1024 if found else 0
         except OSError:
             return 0
 
