--- a/review/9/play.py
+++ b/review/9/play.py
@@ -10,7 +10,7 @@
 import fleet as f  # noqa: E402
 
 HOST = "cartas.example"
-RATE_PER_S = 200
+RATE_PER_S = 240
 WORKERS = 4
 ZONE = f.ZONES[2]
 WARMUP_S = 3.0
