--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,7 +1,5 @@
-"""Clients send safe requests behind one that takes long. The answers that wait for it fill the memory of the edge machine.
-
-Without the trouble, the same clients wait for each answer before they send the next request.
-"""
+"""An operator changes a configuration of some hundred routes some hundred times. Then all processes of the control machines are
+killed and started again: they need twice the memory that they had, and never come back."""
 
 import asyncio
 import os
@@ -11,105 +9,108 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-2"))
 import fleet as f  # noqa: E402
 
-HOST = "cartas.example"
-# confirma-gw has 283 clients for its edge machines; 80 of them use one of the three here.
-CLIENTS = 80
-BEHIND = 15
-# The largest body of the site has 360,000 bytes.
-ANSWER_BYTES = 300_000
-LONG_S = 3.5
-# How long the clients take to send their requests.
-SPREAD_S = 2.6
-MEMORY_MB = 260
-DEADLINE_S = 6.0
-
-
-class Worker(f.Worker):
-    passed_on = {}
-
-    async def run(self, attempt, method, path, fields, body):
-        Worker.passed_on[attempt] = time.monotonic()
-        is_report = path.startswith("/informe/")
-        await asyncio.sleep(LONG_S if is_report else 0.02)
-        return b"x" * (400 if is_report else ANSWER_BYTES)
-
-
-async def pipeline(fleet, edge, paths, outcomes, is_pipelined):
-    """Sends all requests on one kept connection and reads the answers in their order."""
-    attempts = [f.new_attempt(fleet) for _ in paths]
-    for attempt in attempts:
-        outcomes[attempt] = None
-    writer = None
-    try:
-        reader, writer = await asyncio.open_connection(edge.address, fleet.edge_port)
-        texts = [("GET %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n"
-                  % (path, HOST, attempt, DEADLINE_S * 1000)).encode() for attempt, path in zip(attempts, paths)]
-        if is_pipelined:
-            writer.write(b"".join(texts))
-        for attempt, text in zip(attempts, texts):
-            if not is_pipelined:
-                writer.write(text)
-            line, fields = await asyncio.wait_for(f.read_head(reader), DEADLINE_S + 1)
-            await asyncio.wait_for(f.read_body(reader, fields), DEADLINE_S + 1)
-            outcomes[attempt] = int(line.split(" ")[1])
-            fleet.record.say("client got %d for %s" % (outcomes[attempt], attempt))
-            if fields.get("connection") == "close":
-                break
-    except (OSError, EOFError, asyncio.TimeoutError) as error:
-        fleet.record.say("a connection with %d requests ends: %r" % (len(paths), error))
-    finally:
-        if writer:
-            writer.transport.abort()
+# tmw-gate: 110 idle routes, those of the three kinds of requests, and big_config with a count of 388.
+ROUTES = 500
+# "A day may be long and may contain hundreds of changes"; "Up to eight orders may be in progress at once".
+CHANGES = 650
+AT_ONCE = 8
+# config_storm of confirma-gw: a change each 0.06 s.
+GAP_S = 0.06
+# closing kill_all of confirma-gw: down_s = 1.1. RecoveryS is 15.
+DOWN_S = 1.1
+READ_BACK_S = 25.0
+MEMORY_MB = 256
+
+
+def configuration(version):
+    routes = []
+    for index in range(ROUTES):
+        item = f.route("r-%07x" % index, "ficu%02d.example" % (index % 50), "/lohu%04d/" % index, None, "safe", Version=version)
+        del item["Service"]
+        item["TrafficSplit"] = [{"Service": "huvo11a", "Weight": 90}, {"Service": "wuno96b", "Weight": 10}]
+        routes.append(item)
+    return {"Routes": routes}
 
 
 async def watch_memory(fleet, ends, peaks):
     """The platform kills a process that uses more than its memory, and starts it again after a short delay."""
+    async def restart(core):
+        await asyncio.sleep(0.3)
+        core.start(bootstrap=False)
+
     while True:
-        for edge in fleet.edge:
-            if not edge.is_running():
+        for core in fleet.core:
+            if not core.is_running():
                 continue
-            resident = edge.resident_mib()
-            peaks[edge.name] = max(peaks.get(edge.name, 0), resident)
+            resident = core.resident_mib()
+            peaks[core.name] = max(peaks.get(core.name, 0), resident)
             if resident > MEMORY_MB:
-                fleet.record.tell("%s uses %.0f MiB of %d MB and is killed" % (edge.name, resident, MEMORY_MB))
-                ends.append((time.monotonic(), edge.name))
-                edge.kill()
-                edge.process.wait()
-                edge.start(bootstrap=False)
+                fleet.record.say("%s uses %.0f MiB of %d MB and is killed" % (core.name, resident, MEMORY_MB))
+                ends.append(core.name)
+                core.kill()
+                core.process.wait()
+                fleet.spawn(restart(core))
         await asyncio.sleep(0.02)
 
 
+def rounded(peaks):
+    return {name: round(peak) for name, peak in sorted(peaks.items())}
+
+
 async def play(record, has_trouble):
-    fleet = f.Fleet(record, edges=3, edge_memory_mb=MEMORY_MB)
+    fleet = f.Fleet(record, edges=3)
     try:
-        await fleet.start({
-            "Routes": [f.route("r-lista", HOST, "/lista/", "lista", "safe", TimeoutS=5.0, TargetLatencyS=2.0),
-                       f.route("r-informe", HOST, "/informe/", "informe", "safe", TimeoutS=5.0, TargetLatencyS=4.0)],
-            "Services": [f.service("lista", WarmupS=0.0), f.service("informe", WarmupS=0.0)], "Limits": f.LIMITS})
-        for index in range(6):
-            await Worker(fleet, "lista", f.ZONES[index % 3], slots=4).start()
-            await Worker(fleet, "informe", f.ZONES[index % 3], slots=16).start()
+        first = configuration(1)
+        first.update({"Services": [f.service("huvo11a"), f.service("wuno96b")], "Limits": f.LIMITS})
+        await fleet.start(first)
         await fleet.wait_ready()
-        await asyncio.sleep(3)
-        ends, peaks, outcomes = [], {}, {}
+        ends, peaks, acknowledged = [], {}, []
         fleet.spawn(watch_memory(fleet, ends, peaks))
-        edge = fleet.edge[0]
-        loads = []
-        for index in range(CLIENTS):
-            paths = ["/informe/x"] + ["/lista/x"] * BEHIND
-            loads.append(asyncio.ensure_future(pipeline(fleet, edge, paths, outcomes, has_trouble)))
-            await asyncio.sleep(SPREAD_S / CLIENTS)
-        await asyncio.gather(*loads)
-        lost = [attempt for attempt, status in outcomes.items() if status is None and attempt in Worker.passed_on]
-        served = sum(1 for status in outcomes.values() if status == 200)
-        refused = sum(1 for status in outcomes.values() if status == 503)
-        record.tell("%d requests: %d served, %d refused, %d passed on and without an answer; peak %s MiB"
-                    % (len(outcomes), served, refused, len(lost), {name: round(peak) for name, peak in peaks.items()}))
-        broken = []
-        if ends and len(lost) > 3:
-            broken.append("LOST: %d requests were passed on to sound workers and their connections ended without an answer, "
-                          "as the process used more than MemoryMb" % len(lost))
-        return broken
+        places = asyncio.Semaphore(AT_ONCE)
+
+        async def change(version):
+            try:
+                status, _ = await fleet.operate("PATCH", "/-/config", {"Upsert": configuration(version)}, 20)
+                if status != 200:
+                    raise f.Unusable("a change was refused with %d" % status)
+                acknowledged.append(version)
+                record.say("change %d is acknowledged" % version)
+            finally:
+                places.release()
+
+        orders = []
+        for version in range(2, CHANGES + 2):
+            await places.acquire()
+            orders.append(fleet.spawn(change(version)))
+            await asyncio.sleep(GAP_S)
+        await asyncio.gather(*orders)
+        newest = max(acknowledged)
+        record.tell("%6.1f s: %d changes acknowledged, newest %d; peak %s MiB" % (
+            record.now(), len(acknowledged), newest, rounded(peaks)))
+        if ends:
+            raise f.Unusable("a process ended before the fault")
+        if has_trouble:
+            record.tell("%6.1f s: all control processes are killed, and started after %.1f s" % (record.now(), DOWN_S))
+            for core in fleet.core:
+                core.kill()
+            for core in fleet.core:
+                core.process.wait()
+            await asyncio.sleep(DOWN_S)
+            for core in fleet.core:
+                core.start(bootstrap=False)
+        end = time.monotonic() + READ_BACK_S
+        while time.monotonic() < end:
+            status, text = await fleet.call_control(fleet.random.choice(fleet.core).address, "GET", "/-/config", None)
+            if status == 200:
+                found = f.json.loads(text)["Routes"]
+                oldest = min((route["Version"] for route in found), default=0)
+                record.tell("%6.1f s: read back %d routes, the oldest version is %d" % (record.now(), len(found), oldest))
+                return [] if len(found) == ROUTES and oldest == newest else ["LOST: acknowledged items are missing or older"]
+            await asyncio.sleep(0.2)
+        record.tell("%6.1f s: ends by memory: %s; peak %s MiB" % (
+            record.now(), {name: ends.count(name) for name in sorted(set(ends))}, rounded(peaks)))
+        return ["LOST: after the final fault nothing of %d acknowledged changes can be read back for %.0f s"
+                % (len(acknowledged), READ_BACK_S)]
     finally:
         await fleet.stop()
 
