--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -227,8 +227,10 @@
         for _ in range(3):
             try:
                 status, fields, answer = await call(address, port, method, path, body, 1)
-            except (OSError, asyncio.TimeoutError, EOFError, ValueError):
+            except (OSError, asyncio.TimeoutError, EOFError, ValueError) as error:
+                self.record.say("%s %s to %s: no answer, %r" % (method, path, address, error))
                 return None, b""
+            self.record.say("%s %s to %s: %d" % (method, path, address, status))
             if status != 307:
                 return status, answer
             found = re.match(r"http://([\d.]+):(\d+)(/.*)", fields.get("location", ""))
@@ -325,6 +327,9 @@
     """One worker of a service that is not divided by key. `on_run` tells how long a request takes and what it answers."""
 
     numbers = 0
+    # Whether the worker starts again under the id that it had.
+    keeps_id = False
+    id = None
 
     def __init__(self, fleet, pool, zone, slots=4, cold_s=0.0):
         self.fleet = fleet
@@ -341,7 +346,8 @@
 
     async def start(self):
         Worker.numbers += 1
-        self.id = "i-%08x" % (self.fleet.random.getrandbits(24) * 256 + Worker.numbers % 256)
+        if not (self.keeps_id and self.id):
+            self.id = "i-%08x" % (self.fleet.random.getrandbits(24) * 256 + Worker.numbers % 256)
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = "ready"
@@ -478,10 +484,12 @@
         """The attempt id, the status or None, and the seconds until the answer."""
         attempt = new_attempt(self.fleet)
         began = time.monotonic()
+        self.fleet.record.say("client sends %s %s %s to %s" % (attempt, method, path, self.edge.name))
         try:
             status = await asyncio.wait_for(self.exchange(attempt, method, host, path, deadline_s, body, more), deadline_s)
         except (OSError, EOFError, ValueError, asyncio.TimeoutError):
             status = None
+        self.fleet.record.say("client gets %s for %s" % (status, attempt))
         return attempt, status, time.monotonic() - began
 
     async def exchange(self, attempt, method, host, path, deadline_s, body, more):
