--- a/review/6/play.py
+++ b/review/6/play.py
@@ -14,10 +14,11 @@
 # "A day may be long and may contain hundreds of changes"; "Up to eight orders may be in progress at once".
 CHANGES = 900
 AT_ONCE = 8
-# config_storm of confirma-gw: a change each 0.06 s. ack_lost there: a share of 0.6, for 14 s.
+# config_storm of confirma-gw: a change each 0.06 s. ack_lost there: a share of 0.6, for 14 s; it comes twice.
 GAP_S = 0.06
 LOST_SHARE = 0.6
 LOST_S = 14.0
+LOST_AT_S = (0.0, 20.0)
 MEMORY_MB = 256
 READ_BACK_S = 20.0
 
@@ -34,13 +35,16 @@
     return route
 
 
-async def change(fleet, version, lost_until, sends):
+async def change(fleet, version, losses, sends):
     """Sends the same change again, to any node, until its acknowledgement has arrived."""
     body = {"Upsert": {"Routes": [complete(route) for route in routes(version)]}}
     while True:
         sends[0] += 1
+        fleet.record.say("change %d is sent" % version)
         status, _ = await fleet.call_control(fleet.random.choice(fleet.core).address, "PATCH", "/-/config", body)
-        is_lost = time.monotonic() < lost_until and fleet.random.random() < LOST_SHARE
+        is_lost = any(0 <= time.monotonic() - at < LOST_S for at in losses) and fleet.random.random() < LOST_SHARE
+        if status == 200 and is_lost:
+            fleet.record.say("the acknowledgement of change %d is lost" % version)
         if status is not None and 400 <= status < 500 and status not in (408, 429):
             raise f.Unusable("a change was refused with %d" % status)
         if status == 200 and not is_lost:
@@ -86,12 +90,12 @@
         ends, peaks, sends = [], {}, [0]
         fleet.spawn(watch_memory(fleet, ends, peaks))
         began = time.monotonic()
-        lost_until = began + LOST_S if has_trouble else 0
+        losses = [began + at for at in LOST_AT_S] if has_trouble else []
         places = asyncio.Semaphore(AT_ONCE)
 
         async def one(version):
             try:
-                await change(fleet, version, lost_until, sends)
+                await change(fleet, version, losses, sends)
                 acknowledged.append(version)
             finally:
                 places.release()
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -70,6 +70,7 @@
 
         async def change(version):
             try:
+                record.say("change %d is sent" % version)
                 status, _ = await fleet.operate("PATCH", "/-/config", {"Upsert": configuration(version)}, 20)
                 if status != 200:
                     raise f.Unusable("a change was refused with %d" % status)
