--- a/Libraries/LibConsensus/Codec.cpp
+++ b/Libraries/LibConsensus/Codec.cpp
@@ -18,11 +18,26 @@
 
     kj::StringPtr textOf(std::string const& text) { return { text.c_str(), text.size() }; }
 
-    capnp::Data::Reader dataOf(std::string const& bytes)
+    capnp::Data::Reader dataOf(std::string_view bytes)
     {
         return { reinterpret_cast<capnp::byte const*>(bytes.data()), bytes.size() };
     }
 
+    /// Collects the segments of a message without a second copy of the whole.
+    class StringOutput final : public kj::OutputStream {
+    public:
+        explicit StringOutput(std::size_t size) { bytes_.reserve(size); }
+
+        void write(void const* buffer, std::size_t size) override
+        {
+            bytes_.append(static_cast<char const*>(buffer), size);
+        }
+        std::string take() { return std::move(bytes_); }
+
+    private:
+        std::string bytes_;
+    };
+
     std::string stringOf(capnp::Text::Reader text) { return { text.begin(), text.size() }; }
 
     std::string stringOf(capnp::Data::Reader data)
@@ -89,7 +104,7 @@
         builder.setIndex(entry.index.value);
         std::visit(Core::Overloaded {
                        [&](Noop const&) { builder.setNoop(); },
-                       [&](Command const& command) { builder.setCommand(dataOf(command.payload)); },
+                       [&](Command const& command) { builder.setCommand(dataOf(command.payload.view())); },
                        [&](Configuration const& content) { write(builder.initConfiguration(), content); },
                    },
             entry.content);
@@ -350,9 +365,9 @@
     {
         capnp::MallocMessageBuilder builder;
         write(builder.initRoot<Root>(), value);
-        auto const words = capnp::messageToFlatArray(builder);
-        auto const bytes = words.asBytes();
-        return { reinterpret_cast<char const*>(bytes.begin()), bytes.size() };
+        StringOutput output(capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word));
+        capnp::writeMessage(output, builder);
+        return output.take();
     }
 
     /// Decodes a message. Cap'n Proto checks bounds while fields are read and throws exceptions, which are converted to
--- a/Libraries/LibConsensus/Log.cpp
+++ b/Libraries/LibConsensus/Log.cpp
@@ -8,8 +8,9 @@
 Log::Log(LogIndex baseIndex, Term baseTerm, std::vector<LogEntry> entries)
     : baseIndex_(baseIndex)
     , baseTerm_(baseTerm)
-    , entries_(std::make_move_iterator(entries.begin()), std::make_move_iterator(entries.end()))
 {
+    for (auto& entry : entries)
+        append(std::move(entry));
 }
 
 std::optional<Term> Log::termAt(LogIndex index) const
@@ -23,12 +24,18 @@
 
 LogEntry const& Log::at(LogIndex index) const { return entries_.at(index.value - baseIndex_.value - 1); }
 
-void Log::append(LogEntry entry) { entries_.push_back(std::move(entry)); }
+void Log::append(LogEntry entry)
+{
+    bytesUpTo_.push_back(bytesUpTo(lastIndex()) + flowControlBytes(entry));
+    entries_.push_back(std::move(entry));
+}
 
 void Log::truncateFrom(LogIndex index)
 {
-    while (lastIndex() >= index && !entries_.empty())
+    while (lastIndex() >= index && !entries_.empty()) {
         entries_.pop_back();
+        bytesUpTo_.pop_back();
+    }
 }
 
 void Log::compactTo(LogIndex index)
@@ -36,17 +43,41 @@
     while (baseIndex_ < index && !entries_.empty()) {
         baseIndex_ = entries_.front().index;
         baseTerm_ = entries_.front().term;
+        baseBytes_ = bytesUpTo_.front();
         entries_.pop_front();
+        bytesUpTo_.pop_front();
     }
 }
 
 void Log::reset(LogIndex baseIndex, Term baseTerm)
 {
     entries_.clear();
+    bytesUpTo_.clear();
     baseIndex_ = baseIndex;
     baseTerm_ = baseTerm;
 }
 
+std::uint64_t Log::bytesUpTo(LogIndex index) const
+{
+    return index <= baseIndex_ ? baseBytes_ : bytesUpTo_.at(index.value - baseIndex_.value - 1);
+}
+
+std::uint64_t Log::bytesBetween(LogIndex first, LogIndex last) const
+{
+    auto const begin = std::clamp(first, baseIndex_, lastIndex());
+    auto const end = std::clamp(last, begin, lastIndex());
+    return bytesUpTo(end) - bytesUpTo(begin);
+}
+
+LogIndex Log::firstWithin(std::uint64_t maxBytes, LogIndex last) const
+{
+    auto const end = bytesUpTo(std::min(last, lastIndex()));
+    if (end - baseBytes_ <= maxBytes)
+        return baseIndex_;
+    auto const found = std::ranges::lower_bound(bytesUpTo_, end - maxBytes);
+    return { baseIndex_.value + static_cast<std::uint64_t>(std::distance(bytesUpTo_.begin(), found)) + 1 };
+}
+
 std::vector<LogEntry> Log::slice(LogIndex first, std::size_t maxBytes) const
 {
     std::vector<LogEntry> entries;
--- a/Libraries/LibConsensus/Log.h
+++ b/Libraries/LibConsensus/Log.h
@@ -25,6 +25,11 @@
     void truncateFrom(LogIndex);
     /// Removes all entries up to this index, whose entry must be present and becomes the base.
     void compactTo(LogIndex);
+    /// Returns the flow-control size of the entries after `first` up to `last`. Both are limited to what the log holds.
+    std::uint64_t bytesBetween(LogIndex first, LogIndex last) const;
+    /// Returns the lowest index for which the entries after it up to `last` have at most `maxBytes`.
+    LogIndex firstWithin(std::uint64_t maxBytes, LogIndex last) const;
+
     /// Removes all entries and sets a new base.
     void reset(LogIndex baseIndex, Term baseTerm);
 
@@ -37,9 +42,15 @@
     LogIndex lastIndexWithTermUpTo(LogIndex index, Term term) const;
 
 private:
+    /// Returns the number of bytes ever appended up to this entry, relative to an arbitrary start.
+    std::uint64_t bytesUpTo(LogIndex) const;
+
     LogIndex baseIndex_;
     Term baseTerm_;
     std::deque<LogEntry> entries_;
+    /// The value of `bytesUpTo` of the base, and of each entry.
+    std::uint64_t baseBytes_ { 0 };
+    std::deque<std::uint64_t> bytesUpTo_;
 };
 
 } // namespace Consensus
--- a/Libraries/LibConsensus/Machine.cpp
+++ b/Libraries/LibConsensus/Machine.cpp
@@ -44,6 +44,9 @@
     , lastLeaderContact_(now)
     , snapshotReceiver_(settings_.maxSnapshotBytes)
     , snapshotThreshold_(settings_.snapshotInterval + random_.below(settings_.snapshotInterval / 4 + 1))
+    // The same random part as that of the entries.
+    , snapshotThresholdBytes_(
+          settings_.snapshotIntervalBytes * snapshotThreshold_ / std::max<std::uint64_t>(settings_.snapshotInterval, 1))
 {
     resetElectionTimer();
     if (state.isDurable)
@@ -70,8 +73,7 @@
 
     if (before != std::tuple(role_, term_, leader_))
         actions_.roleChange = RoleChange { role_, term_, leader_ };
-    actions_.isSnapshotDue = role_ != Role::Halted && isStorageSound() && !isSnapshotTaken
-        && commitIndex_.value >= lastSnapshotIndex().value + snapshotThreshold_;
+    actions_.isSnapshotDue = !isSnapshotTaken && isSnapshotDue();
     actions_.wakeAt = electionDeadline_;
     if (role_ == Role::Leader) {
         auto const contact = quorumValue(now_, [](Progress const& peer) { return peer.lastContactAt(); });
@@ -196,10 +198,27 @@
     return pendingSnapshots_.empty() ? index : std::max(index, pendingSnapshots_.back().snapshot.metadata.index);
 }
 
+std::uint64_t Node::Machine::lastSnapshotBytes() const
+{
+    if (!pendingSnapshots_.empty())
+        return pendingSnapshots_.back().snapshot.metadata.size;
+    return snapshot_ ? snapshot_->metadata.size : 0;
+}
+
+bool Node::Machine::isSnapshotDue() const
+{
+    if (role_ == Role::Halted || !isStorageSound())
+        return false;
+    auto const last = lastSnapshotIndex();
+    return commitIndex_.value >= last.value + snapshotThreshold_
+        || log_.bytesBetween(last, commitIndex_) >= std::max(snapshotThresholdBytes_, lastSnapshotBytes());
+}
+
 void Node::Machine::compact()
 {
-    auto const index = snapshot_->metadata.index.value;
-    LogIndex const target { index > settings_.retainedEntries ? index - settings_.retainedEntries : 0 };
+    auto const index = snapshot_->metadata.index;
+    LogIndex const byCount { index.value > settings_.retainedEntries ? index.value - settings_.retainedEntries : 0 };
+    auto const target = std::max(byCount, log_.firstWithin(settings_.retainedBytes, index));
     if (target <= log_.baseIndex())
         return;
     log_.compactTo(target);
@@ -264,6 +283,8 @@
         .durableIndex = durability_.durableIndex(),
         .firstIndex = log_.baseIndex().next(),
         .snapshotIndex = snapshot_ ? snapshot_->metadata.index : LogIndex {},
+        .logBytes = log_.bytesBetween(log_.baseIndex(), log_.lastIndex()),
+        .snapshotBytes = snapshot_ ? snapshot_->metadata.size : 0,
         .configuration = configurations_.current(),
         .isConfigurationCommitted = configurations_.currentIndex() <= commitIndex_,
         .isLeaderReady = isLeaderReady(),
--- a/Libraries/LibConsensus/Machine.h
+++ b/Libraries/LibConsensus/Machine.h
@@ -134,6 +134,8 @@
     void send(Core::HostName const& to, MessageBody);
     void refuse(Core::HostName const& from, MessageRefusal);
     LogIndex lastSnapshotIndex() const;
+    std::uint64_t lastSnapshotBytes() const;
+    bool isSnapshotDue() const;
     void compact();
 
     Settings settings_;
@@ -204,6 +206,7 @@
     };
     std::deque<PendingSnapshot> pendingSnapshots_;
     std::uint64_t snapshotThreshold_ { 0 };
+    std::uint64_t snapshotThresholdBytes_ { 0 };
 };
 
 } // namespace Consensus
--- a/Libraries/LibConsensus/MachineLeader.cpp
+++ b/Libraries/LibConsensus/MachineLeader.cpp
@@ -54,17 +54,20 @@
     auto const isAccepting = role_ == Role::Leader && !leadershipTransfer_;
     auto const hint = leadershipTransfer_ ? leadershipTransfer_->target : leader_.value_or(Core::HostName {});
     auto bytes = uncommittedBytes_;
+    auto logBytes = log_.bytesBetween(log_.baseIndex(), log_.lastIndex());
     std::vector<LogEntry> entries;
     for (auto& proposal : event.proposals) {
         if (!isAccepting) {
             actions_.proposals.push_back({ proposal.token, NotLeader { hint } });
             continue;
         }
-        bytes += proposal.payload.size();
-        if (bytes > settings_.maxUncommittedBytes) {
+        auto const size = proposal.payload.size();
+        if (bytes + size > settings_.maxUncommittedBytes || logBytes + size > settings_.maxLogBytes) {
             actions_.proposals.push_back({ proposal.token, Overloaded {} });
             continue;
         }
+        bytes += size;
+        logBytes += size;
         proposals_.add({ log_.lastIndex().value + entries.size() + 1 }, term_, proposal.token);
         entries.push_back({ .content = Command { std::move(proposal.payload) } });
     }
--- a/Libraries/LibConsensus/Node.h
+++ b/Libraries/LibConsensus/Node.h
@@ -33,6 +33,9 @@
     /// The index of the first entry that is in memory.
     LogIndex firstIndex;
     LogIndex snapshotIndex;
+    /// The size of the entries in memory for flow control, and of the last durable snapshot.
+    std::uint64_t logBytes { 0 };
+    std::uint64_t snapshotBytes { 0 };
     Configuration configuration;
     bool isConfigurationCommitted { false };
     /// Whether this host is the leader and has committed an entry of its own term. Reads and configuration changes
--- a/Libraries/LibConsensus/Settings.h
+++ b/Libraries/LibConsensus/Settings.h
@@ -35,9 +35,16 @@
     /// Number of committed entries after which a snapshot is due. Each host adds a random amount of up to a quarter, so
     /// that the hosts do not all pause at the same time.
     std::uint64_t snapshotInterval { 50'000 };
+    /// Size of the committed entries after which a snapshot is due, whatever their number. Each host adds a random
+    /// amount of up to a quarter. If the last snapshot is larger, a snapshot is due after as many bytes as it has.
+    std::uint64_t snapshotIntervalBytes { std::uint64_t { 64 } << 20 };
     /// Number of entries before the snapshot index that stay in memory, so that followers that lag slightly do not need
-    /// a snapshot.
+    /// a snapshot, and the limit on their size.
     std::uint64_t retainedEntries { 5'000 };
+    std::uint64_t retainedBytes { std::uint64_t { 16 } << 20 };
+    /// Limit on the size of the log in memory. A leader rejects proposals that would exceed it, until a snapshot is
+    /// durable and the log can be compacted. Must exceed the sum of the other limits on the log.
+    std::uint64_t maxLogBytes { std::uint64_t { 256 } << 20 };
     /// Maximum number of entries by which a learner may lag and still be promoted.
     std::uint64_t maxPromotionLag { 64 };
 };
--- a/Libraries/LibConsensus/SnapshotReceiver.cpp
+++ b/Libraries/LibConsensus/SnapshotReceiver.cpp
@@ -13,6 +13,7 @@
         if (chunk.metadata.size > maxBytes_)
             return 0;
         metadata_ = chunk.metadata;
+        data_.reserve(metadata_->size);
     }
     auto const fits = chunk.data.size() <= metadata_->size - data_.size();
     if (chunk.offset == data_.size() && fits)
--- a/Libraries/LibConsensus/Types.h
+++ b/Libraries/LibConsensus/Types.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibConsensus/Configuration.h>
+#include <LibConsensus/Payload.h>
 #include <LibCore/Identifiers.h>
 
 #include <cstdint>
@@ -34,7 +35,7 @@
 
 /// An application command. The payload is opaque to this library.
 struct Command {
-    std::string payload;
+    Payload payload;
 
     bool operator==(Command const&) const = default;
 };
--- a/Libraries/LibControlHost/Bootstrap.cpp
+++ b/Libraries/LibControlHost/Bootstrap.cpp
@@ -26,9 +26,10 @@
         return Consensus::Configuration::ofVoters(std::move(voters));
     }
 
-    Core::Result<OpenedStore, Storage::StoreError> openAs(Storage::DiskInterface& disk, Core::HostName const& identity)
+    Core::Result<OpenedStore, Storage::StoreError> openAs(
+        Storage::DiskInterface& disk, Core::HostName const& identity, std::uint64_t segmentBytes)
     {
-        auto opened = TRY(Storage::Store::open(disk, { clusterId, identity }));
+        auto opened = TRY(Storage::Store::open(disk, { clusterId, identity, segmentBytes }));
         return OpenedStore { identity, std::move(opened) };
     }
 
@@ -42,13 +43,13 @@
 Core::Result<OpenedStore, Storage::StoreError> openOrBootstrap(
     Storage::DiskInterface& disk, BootstrapSettings const& settings)
 {
-    auto found = openAs(disk, founderIdentity(settings.address));
+    auto found = openAs(disk, founderIdentity(settings.address), settings.segmentBytes);
     if (!found.isError())
         return found;
     if (auto const* const mismatch = std::get_if<Storage::IdentityMismatch>(&found.error())) {
         if (mismatch->foundCluster != clusterId)
             return found;
-        return openAs(disk, mismatch->foundHost);
+        return openAs(disk, mismatch->foundHost, settings.segmentBytes);
     }
     if (!std::holds_alternative<Storage::NotInitialized>(found.error()))
         return found;
@@ -57,7 +58,7 @@
     auto const state
         = isFounder ? Consensus::bootstrapState(initialConfiguration(settings.founders)) : Consensus::RecoveredState {};
     TRY(Storage::Store::create(disk, { clusterId, identity }, state));
-    return openAs(disk, identity);
+    return openAs(disk, identity, settings.segmentBytes);
 }
 
 } // namespace ControlHost
--- a/Libraries/LibControlHost/Bootstrap.h
+++ b/Libraries/LibControlHost/Bootstrap.h
@@ -13,6 +13,8 @@
     std::vector<Core::Endpoint> founders;
     /// Whether the whole system starts for the first time, with empty disks.
     bool isFirstStart { false };
+    /// A new file of the log is started beyond this size. A start holds one file besides the entries.
+    std::uint64_t segmentBytes { Storage::defaultSegmentBytes };
 };
 
 /// The opened store of this host and the identity that is recorded in it.
--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -23,24 +23,13 @@
     constexpr Core::Duration leaderTimeout = std::chrono::milliseconds(1600);
     constexpr Core::Duration joinerExpiry = std::chrono::seconds(2);
     constexpr Core::Duration memberChangeInterval = std::chrono::milliseconds(20);
-    /// The limit on unsent bytes of a channel. Beyond it, messages to a control host are dropped, and an entry host is
-    /// disconnected, so that it starts again on a new channel.
-    constexpr std::size_t maxPendingBytes = 4UL * 1024 * 1024;
+    /// The number of cached full updates for entry hosts with different revisions.
+    constexpr std::size_t maxCachedUpdates = 8;
     /// The time for which a disconnected entry host is still counted, since it may still serve requests.
     constexpr Core::Duration entryHostRetention = std::chrono::seconds(30);
     /// The time after an election until a new leader publishes the list of entry hosts, so that they can connect first.
     constexpr Core::Duration entryHostListDelay = std::chrono::seconds(2);
 
-    Consensus::Settings consensusSettings(Core::HostName const& identity)
-    {
-        Consensus::Settings settings;
-        settings.clusterId = { "fleet" };
-        settings.host = identity;
-        settings.snapshotInterval = 2'000;
-        settings.retainedEntries = 500;
-        return settings;
-    }
-
 } // namespace
 
 ControlHost::ControlHost(Net::EventLoop& loop, Telemetry::EventLog& events, Telemetry::Metrics& metrics,
@@ -50,7 +39,7 @@
     , metrics_(metrics)
     , settings_(std::move(settings))
     , identity_(store.identity)
-    , replica_(loop, events, *this, consensusSettings(store.identity), std::move(store.opened))
+    , replica_(loop, events, *this, consensusSettings(store.identity, settings_.memory), std::move(store.opened))
     , lastLeader_(loop.now())
 {
     tick();
@@ -128,10 +117,48 @@
 }
 
 void ControlHost::change(Fleet::ItemChange change, std::function<void(ChangeResult)> callback)
+{
+    if (!coordinator_) {
+        callback(NotLeading {});
+        return;
+    }
+    auto const& state = replica_.state();
+    if (!state.isInEffect(change) && fits(state, change)) {
+        commitItems(std::move(change), std::move(callback));
+        return;
+    }
+    // Answered without an entry in the log. Another leader may have committed newer items, so leadership is confirmed.
+    read([this, change = std::move(change), callback = std::move(callback)](auto const& result) mutable {
+        if (result.isError())
+            callback(NotLeading {});
+        else if (result.value()->isInEffect(change))
+            callback(Core::Void {});
+        else if (fits(*result.value(), change))
+            commitItems(std::move(change), std::move(callback));
+        // While a change is in progress, it may be this one, sent again, and must not be refused.
+        else if (itemChangesInProgress_ > 0)
+            callback(OutcomeUnknown {});
+        else
+            callback(Fleet::ChangeError(
+                Fleet::TooManyItemBytes { result.value()->itemBytesAfter(change), settings_.memory.items }));
+    });
+}
+
+bool ControlHost::fits(Fleet::State const& state, Fleet::ItemChange const& change) const
+{
+    auto const after = state.itemBytesAfter(change);
+    return after <= settings_.memory.items || after <= state.itemBytes();
+}
+
+void ControlHost::commitItems(Fleet::ItemChange change, std::function<void(ChangeResult)> callback)
 {
     Fleet::Command command;
     command.items = std::move(change);
-    commit(command, std::move(callback));
+    ++itemChangesInProgress_;
+    commit(command, [this, callback = std::move(callback)](ChangeResult const& result) {
+        --itemChangesInProgress_;
+        callback(result);
+    });
 }
 
 void ControlHost::change(Fleet::DomainChange change, std::function<void(ChangeResult)> callback)
@@ -194,7 +221,7 @@
         return;
     auto& channel = channelTo(*address);
     // Consensus tolerates the loss of messages.
-    if (channel.pendingBytes() <= maxPendingBytes)
+    if (channel.pendingBytes() <= settings_.memory.peerMessages)
         channel.send(makeFrame(FrameType::Consensus, std::string_view(Consensus::encodeMessage(message))));
 }
 
@@ -445,15 +472,27 @@
     auto const frame = makeViewFrame(update_);
     update_ = {};
     fullUpdateFrames_.clear();
-    std::vector<Net::FrameChannel*> congested;
+    for (auto const& [channel, name] : entryChannels_)
+        channel->send(frame);
+    closeCongestedChannels(frame.size());
+}
+
+/// Disconnects the entry hosts that have taken the least, until the unsent updates of the others fit the budget. An
+/// entry host must not miss a change; after it reconnects, it requests a full update.
+void ControlHost::closeCongestedChannels(std::size_t lastFrameBytes)
+{
+    std::vector<std::pair<std::size_t, Net::FrameChannel*>> pending;
+    std::size_t total = 0;
     for (auto const& [channel, name] : entryChannels_) {
-        if (channel->pendingBytes() <= maxPendingBytes)
-            channel->send(frame);
-        else
-            congested.push_back(channel);
+        pending.emplace_back(channel->pendingBytes(), channel);
+        total += pending.back().first;
     }
-    // An entry host must not miss a change. After it reconnects, it requests a full update.
-    for (auto* const channel : congested) {
+    std::ranges::sort(pending, std::greater {});
+    for (auto const& [bytes, channel] : pending) {
+        // A channel that has taken all but the last update keeps up.
+        if (total <= settings_.memory.viewUpdates || bytes <= 2 * lastFrameBytes)
+            return;
+        total -= bytes;
         channel->close();
         onClosed(*channel);
     }
@@ -479,6 +518,8 @@
 {
     // All entry hosts request the view at the same time after a change of the leader, most of them with the same
     // revision.
+    if (fullUpdateFrames_.size() >= maxCachedUpdates && !fullUpdateFrames_.contains(knownRevision))
+        fullUpdateFrames_.clear();
     auto& frame = fullUpdateFrames_[knownRevision];
     if (frame.empty()) {
         auto view = Fleet::makeFullUpdate(replica_.state(), *coordinator_, knownRevision, loop_.now());
@@ -532,6 +573,7 @@
     auto const isLeader = status.role == Consensus::Role::Leader;
     metrics_.setStorageSound(replica_.isStorageSound());
     metrics_.setRaft(status.term.value, status.commitIndex.value, isLeader, status.leader.has_value());
+    metrics_.setLogBytes(status.logBytes, status.snapshotBytes, replica_.state().itemBytes());
     metrics_.clearRequestLimits();
     reportEntryHostsBehind();
     if (coordinator_) {
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -3,6 +3,7 @@
 #include <LibControlHost/Bootstrap.h>
 #include <LibControlHost/Frames.h>
 #include <LibControlHost/MembershipPlan.h>
+#include <LibControlHost/MemoryBudget.h>
 #include <LibControlHost/Replica.h>
 #include <LibFleet/EntryHostRevisions.h>
 #include <LibFleet/View.h>
@@ -17,6 +18,7 @@
     /// The addresses of the control hosts that are contacted first.
     std::vector<Core::Endpoint> seeds;
     Fleet::CoordinatorSettings coordinator;
+    MemoryBudget memory { divideMemory(defaultMemoryBytes) };
 };
 
 using HeartbeatResult = Core::Result<std::optional<Fleet::Grant>, SubmitError>;
@@ -47,6 +49,8 @@
     bool knowsPool(Core::PoolName const& pool) const { return replica_.state().pools().contains(pool.value); }
     /// The address of the leader, if one is known and it is another host.
     std::optional<Core::Endpoint> leader() const;
+    /// The memory held by changes that were submitted and have no outcome, in bytes.
+    std::size_t bytesInProgress() const { return replica_.bytesInProgress(); }
     /// The identities of the voters in the latest configuration that this host knows.
     std::vector<Core::HostName> voters() const;
     /// Transfers the leadership to another host before a planned stop.
@@ -75,12 +79,16 @@
     void onHint(LeaderHint const&);
     LeaderHint hint() const;
     Net::FrameChannel& channelTo(Core::Endpoint const&);
+    /// Whether the items fit their part of the memory after the change, or take no more than before.
+    bool fits(Fleet::State const&, Fleet::ItemChange const&) const;
+    void commitItems(Fleet::ItemChange, std::function<void(ChangeResult)>);
     void commit(Fleet::Command const&, std::function<void(ChangeResult)>);
     void answerHeartbeat(
         Fleet::Heartbeat const&, Core::TimePoint receivedAt, std::function<void(HeartbeatResult)> const&);
     void submitDecisions();
     void publishSoon();
     void publish();
+    void closeCongestedChannels(std::size_t lastFrameBytes);
     /// Returns the encoded full update for entry hosts that have the items up to a revision. It is cached until the
     /// view changes.
     std::string const& fullUpdateFrame(std::uint64_t knownRevision);
@@ -118,6 +126,7 @@
     Core::TimePoint lastLeader_;
     Core::TimePoint lastJoin_;
     Core::TimePoint lastMetrics_;
+    std::size_t itemChangesInProgress_ { 0 };
     std::size_t nextSeed_ { 0 };
     std::optional<Core::Endpoint> hintedLeader_;
     Net::EventLoop::TimerId timer_;
--- a/Libraries/LibControlHost/Replica.cpp
+++ b/Libraries/LibControlHost/Replica.cpp
@@ -37,8 +37,10 @@
 void Replica::submit(Fleet::Command const& command, std::function<void(SubmitResult)> callback)
 {
     auto const token = nextToken_++;
-    proposals_.emplace(token, std::move(callback));
-    queuedProposals_.push_back({ { token }, Fleet::encode(command) });
+    auto payload = Fleet::encode(command);
+    bytesInProgress_ += payload.size();
+    proposals_.emplace(token, PendingProposal { std::move(callback), payload.size() });
+    queuedProposals_.push_back({ { token }, std::move(payload) });
     scheduleFlush();
 }
 
@@ -130,7 +132,7 @@
         auto const* const content = std::get_if<Consensus::Command>(&entry.content);
         if (!content)
             continue;
-        auto const command = Fleet::decode<Fleet::Command>(content->payload);
+        auto const command = Fleet::decode<Fleet::Command>(content->payload.view());
         // Every host must apply the same commands, so a command that this version cannot decode ends the process.
         if (!command) {
             events_.write(EventId::LogCorrupted, { { "index", appliedIndex_ } });
@@ -149,7 +151,8 @@
         auto node = proposals_.extract(answer.token.value);
         if (node.empty())
             continue;
-        auto const& callback = node.mapped();
+        auto const& callback = node.mapped().callback;
+        bytesInProgress_ -= node.mapped().bytes;
         auto const* const committed = std::get_if<Consensus::Committed>(&answer.outcome);
         if (!committed) {
             auto const isUnknown = std::holds_alternative<Consensus::Unresolved>(answer.outcome);
@@ -199,7 +202,8 @@
 void Replica::takeSnapshot()
 {
     auto data = std::make_shared<std::string const>(state_.snapshot());
-    events_.write(EventId::SnapshotWritten, { { "index", appliedIndex_ }, { "bytes", data->size() } });
+    events_.write(EventId::SnapshotWritten,
+        { { "index", appliedIndex_ }, { "bytes", data->size() }, { "logBytes", node_.status().logBytes } });
     step(Consensus::SnapshotTaken { { appliedIndex_ }, std::move(data) });
 }
 
--- a/Libraries/LibControlHost/Replica.h
+++ b/Libraries/LibControlHost/Replica.h
@@ -56,6 +56,8 @@
     Consensus::Status status() const { return node_.status(); }
     bool isStorageSound() const { return node_.isStorageSound(); }
     Fleet::State const& state() const { return state_; }
+    /// The size of the commands that were submitted and have no outcome.
+    std::size_t bytesInProgress() const { return bytesInProgress_; }
 
 private:
     void step(Consensus::Event);
@@ -88,7 +90,12 @@
     bool isFlushScheduled_ { false };
     std::vector<Consensus::Proposal> queuedProposals_;
     std::vector<Consensus::ReadToken> queuedReads_;
-    std::unordered_map<std::uint64_t, std::function<void(SubmitResult)>> proposals_;
+    struct PendingProposal {
+        std::function<void(SubmitResult)> callback;
+        std::size_t bytes { 0 };
+    };
+    std::unordered_map<std::uint64_t, PendingProposal> proposals_;
+    std::size_t bytesInProgress_ { 0 };
     std::unordered_map<std::uint64_t, std::function<void(bool)>> reads_;
     /// The results of applied commands by log index, kept until their proposals are answered.
     std::unordered_map<std::uint64_t, Fleet::ApplyResult> outcomes_;
--- a/Libraries/LibFleet/Model.h
+++ b/Libraries/LibFleet/Model.h
@@ -231,8 +231,11 @@
 /// Encodes a value as CBOR.
 template <typename T> std::string encode(T const& value)
 {
-    auto const bytes = nlohmann::json::to_cbor(nlohmann::json(value));
-    return { bytes.begin(), bytes.end() };
+    std::string bytes;
+    nlohmann::json::to_cbor(nlohmann::json(value), bytes);
+    // Log entries, snapshots and cached frames live for long.
+    bytes.shrink_to_fit();
+    return bytes;
 }
 
 /// Decodes a value from CBOR. Empty if the bytes do not encode a value of this type.
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 
 namespace Fleet {
 
@@ -58,6 +59,68 @@
         return isSet;
     }
 
+    /// Whether each of the items or removals has at most the version that is held under its name.
+    template <typename Item, typename Change, typename Name>
+    bool areHeld(std::map<std::string, VersionedItem<Item>> const& items, std::vector<Change> const& changes, Name name)
+    {
+        return std::ranges::all_of(changes, [&](auto const& change) {
+            auto const held = items.find(name(change));
+            return change.version <= (held == items.end() ? 0 : held->second.version);
+        });
+    }
+
+    std::string const& nameOf(Removal const& removal) { return removal.name; }
+    template <typename Item> std::string const& nameOf(Item const& item) { return item.name.value; }
+
+    /// The memory of an item besides its texts.
+    constexpr std::size_t itemOverheadBytes = 256;
+
+    std::size_t bytesOf(RouteItem const& route)
+    {
+        auto const shares = std::accumulate(route.shares.begin(), route.shares.end(), std::size_t { 0 },
+            [](auto sum, auto const& share) { return sum + sizeof(PoolShare) + share.pool.value.size(); });
+        return itemOverheadBytes + route.name.value.size() + route.host.size() + route.prefix.size()
+            + route.document.size() + shares;
+    }
+
+    std::size_t bytesOf(PoolItem const& pool)
+    {
+        return itemOverheadBytes + pool.name.value.size() + pool.document.size();
+    }
+
+    std::size_t bytesOf(WorkspaceItem const& workspace)
+    {
+        auto const keys = std::accumulate(workspace.apiKeys.begin(), workspace.apiKeys.end(), std::size_t { 0 },
+            [](auto sum, auto const& key) { return sum + sizeof(std::string) + key.size(); });
+        return itemOverheadBytes + workspace.name.value.size() + workspace.document.size() + keys;
+    }
+
+    template <typename Item> std::size_t bytesOf(VersionedItem<Item> const& held)
+    {
+        return held.item ? bytesOf(*held.item) : itemOverheadBytes;
+    }
+
+    template <typename Item> std::size_t sumOf(std::map<std::string, VersionedItem<Item>> const& items)
+    {
+        return std::accumulate(items.begin(), items.end(), std::size_t { 0 },
+            [](auto sum, auto const& entry) { return sum + bytesOf(entry.second); });
+    }
+
+    /// How much more memory the items take once those of a change have replaced the held ones of lower versions.
+    template <typename Item>
+    std::ptrdiff_t growthOf(std::map<std::string, VersionedItem<Item>> const& items, std::vector<Item> const& changes)
+    {
+        std::ptrdiff_t growth = 0;
+        for (auto const& change : changes) {
+            auto const held = items.find(change.name.value);
+            if (held != items.end() && change.version <= held->second.version)
+                continue;
+            auto const before = held == items.end() ? 0 : bytesOf(held->second);
+            growth += static_cast<std::ptrdiff_t>(bytesOf(change)) - static_cast<std::ptrdiff_t>(before);
+        }
+        return growth;
+    }
+
     /// Returns two workspaces with the same API key, if there are any.
     std::optional<SharedApiKey> findSharedApiKey(Workspaces const& workspaces)
     {
@@ -82,6 +145,9 @@
         return "route " + unknown->route.value + " names the unknown pool " + unknown->pool.value;
     if (auto const* const used = std::get_if<PoolInUse>(&error))
         return "route " + used->route.value + " still names the pool " + used->pool.value;
+    if (auto const* const bytes = std::get_if<TooManyItemBytes>(&error))
+        return "the configuration would take " + std::to_string(bytes->bytes) + " bytes of "
+            + std::to_string(bytes->limit);
     auto const& shared = std::get<SharedApiKey>(error);
     return "workspaces " + shared.first.value + " and " + shared.second.value + " share an API key";
 }
@@ -205,6 +271,29 @@
     return exists;
 }
 
+bool State::isInEffect(ItemChange const& change) const
+{
+    auto const name = [](auto const& item) { return nameOf(item); };
+    return areHeld(routes_, change.routes, name) && areHeld(routes_, change.removedRoutes, name)
+        && areHeld(pools_, change.pools, name) && areHeld(pools_, change.removedPools, name)
+        && areHeld(workspaces_, change.workspaces, name) && areHeld(workspaces_, change.removedWorkspaces, name)
+        && (!change.limits || change.limits->version <= limits_.version) && !check(change);
+}
+
+std::size_t State::itemBytes() const
+{
+    return sumOf(routes_) + sumOf(pools_) + sumOf(workspaces_) + limits_.document.size();
+}
+
+std::size_t State::itemBytesAfter(ItemChange const& change) const
+{
+    auto const growth
+        = growthOf(routes_, change.routes) + growthOf(pools_, change.pools) + growthOf(workspaces_, change.workspaces);
+    auto const limits = change.limits ? change.limits->document.size() : 0;
+    return static_cast<std::size_t>(std::max<std::ptrdiff_t>(static_cast<std::ptrdiff_t>(itemBytes()) + growth, 0))
+        + limits;
+}
+
 void State::apply(ItemChange const& change, ApplyResult& applied)
 {
     auto const revision = itemRevision_ + 1;
--- a/Libraries/LibFleet/State.h
+++ b/Libraries/LibFleet/State.h
@@ -22,7 +22,12 @@
     Core::RouteName route;
     Core::PoolName pool;
 };
-using ChangeError = std::variant<UnknownPool, PoolInUse, SharedApiKey>;
+/// The error for a change after which the configuration items would take more memory than they may, in bytes.
+struct TooManyItemBytes {
+    std::size_t bytes { 0 };
+    std::size_t limit { 0 };
+};
+using ChangeError = std::variant<UnknownPool, PoolInUse, SharedApiKey, TooManyItemBytes>;
 /// A text for the log and the operator, without secrets.
 std::string describe(ChangeError const&);
 
@@ -58,6 +63,11 @@
     /// The number of commands that changed items. It is the same on every host that has applied the same commands, so
     /// an entry host that has all items up to a revision needs only newer items from any leader.
     std::uint64_t itemRevision() const { return itemRevision_; }
+    /// Whether the change is valid and changes nothing, since each item is at its version or a higher one.
+    bool isInEffect(ItemChange const&) const;
+    /// The approximate memory of all configuration items, and after a change, in bytes.
+    std::size_t itemBytes() const;
+    std::size_t itemBytesAfter(ItemChange const&) const;
     std::set<std::string> const& evacuated() const { return evacuated_; }
     std::map<ServerNumber, ServerRecord> const& servers() const { return servers_; }
     ServerRecord const* findServer(ServerNumber) const;
--- a/Libraries/LibTelemetry/Metrics.cpp
+++ b/Libraries/LibTelemetry/Metrics.cpp
@@ -87,6 +87,12 @@
         r, "primroseshift_raft_quorum", "Whether this host reaches a majority, as leader or through the leader.");
     Family<Gauge>& entryHostsBehind = gauge(r, "primroseshift_entry_hosts_behind",
         "Entry hosts that lack a change of the configuration made some time ago.");
+    Family<Gauge>& raftLogBytes
+        = gauge(r, "primroseshift_raft_log_bytes", "Bytes of the Raft log that this host holds in memory.");
+    Family<Gauge>& raftSnapshotBytes
+        = gauge(r, "primroseshift_raft_snapshot_bytes", "Bytes of the last durable snapshot of this host.");
+    Family<Gauge>& configurationBytes
+        = gauge(r, "primroseshift_configuration_bytes", "Bytes of the configuration items.");
     Family<Gauge>& storageSound
         = gauge(r, "primroseshift_storage_sound", "Whether the disk of this host accepts writes.");
     Family<Counter>& elections = counter(r, "primroseshift_elections_total", "Elections this host started.");
@@ -272,6 +278,14 @@
     f.set(f.raftQuorum, {}, hasQuorum ? 1 : 0);
 }
 
+void Metrics::setLogBytes(std::uint64_t log, std::uint64_t snapshot, std::uint64_t items)
+{
+    auto& f = *families_;
+    f.set(f.raftLogBytes, {}, static_cast<double>(log));
+    f.set(f.raftSnapshotBytes, {}, static_cast<double>(snapshot));
+    f.set(f.configurationBytes, {}, static_cast<double>(items));
+}
+
 void Metrics::setStorageSound(bool isSound) { families_->set(families_->storageSound, {}, isSound ? 1 : 0); }
 
 void Metrics::setEntryHostsBehind(std::uint64_t entryHosts)
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -54,6 +54,8 @@
     void setReady(bool);
     void setRevision(Core::Revision applied);
     void setInEffectRevision(Core::Revision);
+    /// The bytes of the log in memory, of the last snapshot and of the configuration items.
+    void setLogBytes(std::uint64_t log, std::uint64_t snapshot, std::uint64_t items);
     void setStorageSound(bool);
     void setRaft(std::uint64_t term, std::uint64_t commitIndex, bool isLeader, bool hasQuorum);
     /// The entry hosts that lack a change of the configuration, as the control leader knows.
--- a/Services/Daemon/ControlNode.cpp
+++ b/Services/Daemon/ControlNode.cpp
@@ -213,7 +213,7 @@
         auto const* content = std::get_if<Consensus::Command>(&entry.content);
         if (!content)
             continue;
-        auto const command = Control::decodeCommand(toBytes(content->payload));
+        auto const command = Control::decodeCommand(toBytes(content->payload.view()));
         // All hosts must apply the same commands, so one that this version cannot read ends the process.
         if (command.isError()) {
             dependencies_.events.write(Telemetry::EventId::LogCorrupted, { { "index", entry.index.value } });
--- a/Tests/LibConsensus/SimulatedState.h
+++ b/Tests/LibConsensus/SimulatedState.h
@@ -16,7 +16,7 @@
     return payload;
 }
 
-inline std::uint64_t tokenOf(std::string const& payload)
+inline std::uint64_t tokenOf(std::string_view payload)
 {
     std::uint64_t token = 0;
     std::memcpy(&token, payload.data(), sizeof(token));
--- a/Tests/LibConsensus/SimulationChecks.cpp
+++ b/Tests/LibConsensus/SimulationChecks.cpp
@@ -99,7 +99,7 @@
     host.appliedIndex = entry.index.value;
     auto const* command = std::get_if<Command>(&entry.content);
     if (command)
-        host.tokens.push_back(tokenOf(command->payload));
+        host.tokens.push_back(tokenOf(command->payload.view()));
 
     if (entry.index.value <= committed_.size()) {
         if (committed_[entry.index.value - 1].entry != entry)
@@ -110,7 +110,7 @@
         recordViolation(concatenate(name, " commits entry ", entry.index.value, " before its predecessors"));
     checkDurableAtMajority(name, host, entry);
     if (command) {
-        auto const token = tokenOf(command->payload);
+        auto const token = tokenOf(command->payload.view());
         committedTokens_.push_back(token);
         if (!committedTokenSet_.insert(token).second)
             recordViolation(concatenate("proposal ", token, " is committed twice"));
--- a/Tests/LibControlHost/TestControlHost.cpp
+++ b/Tests/LibControlHost/TestControlHost.cpp
@@ -111,6 +111,40 @@
         });
     }
 
+    /// Sends a change to the leader until it has a clear answer. Returns nothing on a timeout.
+    std::optional<Core::Result<Core::Void, Fleet::ChangeError>> send(Fleet::ItemChange const& change)
+    {
+        struct Attempt {
+            std::optional<Core::Result<Core::Void, Fleet::ChangeError>> answer;
+            bool isWaiting { false };
+        };
+        auto const attempt = std::make_shared<Attempt>();
+        runUntil([&] {
+            auto* const host = leader();
+            if (!host || attempt->isWaiting || attempt->answer)
+                return attempt->answer.has_value();
+            attempt->isWaiting = true;
+            host->change(change, [attempt](auto const& result) {
+                attempt->isWaiting = false;
+                if (!result.isError())
+                    attempt->answer = Core::Void {};
+                else if (auto const* const error = std::get_if<Fleet::ChangeError>(&result.error()))
+                    attempt->answer = *error;
+            });
+            return attempt->answer.has_value();
+        });
+        return attempt->answer;
+    }
+
+    /// The size of all files of a host.
+    std::uintmax_t storedBytes(std::size_t index) const
+    {
+        std::uintmax_t bytes = 0;
+        for (auto const& file : std::filesystem::directory_iterator(root_ / std::to_string(index)))
+            bytes += file.file_size();
+        return bytes;
+    }
+
     /// Reads the version of the pool from the leader. Returns zero on a timeout.
     std::uint64_t readVersion()
     {
@@ -134,17 +168,18 @@
         return attempt->version;
     }
 
-private:
-    static Fleet::ItemChange changeOf(std::uint64_t version)
+    static Fleet::ItemChange changeOf(std::uint64_t version, std::size_t documentBytes = 2)
     {
         Fleet::ItemChange change;
         Fleet::PoolItem pool;
         pool.name = { "pool" };
         pool.version = version;
+        pool.document = std::string(documentBytes, 'd');
         change.pools.push_back(pool);
         return change;
     }
 
+private:
     std::filesystem::path root_;
     Core::SystemClock clock_;
     std::unique_ptr<Telemetry::EventLog> events_;
@@ -205,6 +240,48 @@
     }
 }
 
+// Guards against a change that is sent again and again and takes room in the log each time.
+BOOST_AUTO_TEST_CASE(AChangeThatIsInEffectIsAcknowledgedWithoutAnEntry)
+{
+    constexpr std::size_t documentBytes = 100'000;
+    Group group;
+    startAll(group);
+    auto const change = Group::changeOf(5, documentBytes);
+    BOOST_REQUIRE(group.send(change).has_value());
+    auto const leader = group.leaderIndex();
+    auto const before = group.storedBytes(leader);
+    for (int i = 0; i < 20; ++i) {
+        auto const answer = group.send(change);
+        BOOST_REQUIRE(answer.has_value());
+        BOOST_TEST(!answer->isError());
+    }
+    BOOST_TEST(group.storedBytes(leader) < before + documentBytes);
+}
+
+// Guards against a configuration that grows until no host can hold it, and against the refusal of what was accepted.
+BOOST_AUTO_TEST_CASE(AConfigurationThatOutgrowsTheMemoryIsRefused)
+{
+    auto const limit = ControlHost::divideMemory(ControlHost::defaultMemoryBytes).items;
+    Group group;
+    startAll(group);
+    auto const accepted = Group::changeOf(5, limit / 2);
+    auto const first = group.send(accepted);
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(!first->isError());
+    auto other = Group::changeOf(6, limit * 3 / 4);
+    other.pools.front().name = { "other" };
+    for (int i = 0; i < 2; ++i) {
+        auto const answer = group.send(other);
+        BOOST_REQUIRE(answer.has_value());
+        BOOST_REQUIRE(answer->isError());
+        BOOST_TEST(std::holds_alternative<Fleet::TooManyItemBytes>(answer->error()));
+    }
+    auto const again = group.send(accepted);
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(!again->isError());
+    BOOST_TEST(group.readVersion() == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(AFounderThatLostItsDiskDoesNotBootstrapAnotherGroup)
 {
     Group group;
--- a/Tests/LibFleet/TestState.cpp
+++ b/Tests/LibFleet/TestState.cpp
@@ -173,6 +173,57 @@
 }
 
 // CONFIG of issue 42: the removal of a pool left routes that name an unknown one, and was acknowledged.
+// Guards against calls that change nothing and take room in the log.
+BOOST_AUTO_TEST_CASE(AChangeIsInEffectOnceEachOfItsItemsIs)
+{
+    State state;
+    auto const change = *configure().items;
+    BOOST_TEST(!state.isInEffect(change));
+    state.apply(configure());
+    BOOST_TEST(state.isInEffect(change));
+    auto newer = change;
+    newer.routes.push_back(makeRoute("other", 1));
+    BOOST_TEST(!state.isInEffect(newer));
+    auto withRemoval = change;
+    withRemoval.removedRoutes.push_back({ "route", 1 });
+    BOOST_TEST(state.isInEffect(withRemoval));
+    withRemoval.removedRoutes.front().version = 2;
+    BOOST_TEST(!state.isInEffect(withRemoval));
+    auto withLimits = change;
+    withLimits.limits.emplace().version = 1;
+    BOOST_TEST(!state.isInEffect(withLimits));
+}
+
+// An invalid change must be rejected each time, also when it would change nothing.
+BOOST_AUTO_TEST_CASE(AnInvalidChangeIsNeverInEffect)
+{
+    State state;
+    state.apply(configure());
+    auto change = *configure().items;
+    change.routes.front().shares = { { { "unknown" }, 1 } };
+    BOOST_TEST(!state.isInEffect(change));
+    BOOST_TEST(state.apply({ .items = change }).error.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TheMemoryOfItemsFollowsTheirTexts)
+{
+    constexpr std::size_t documentBytes = 10'000;
+    State state;
+    state.apply(configure());
+    auto const before = state.itemBytes();
+    ItemChange change;
+    change.routes.push_back(makeRoute("route", 2));
+    change.routes.front().document = std::string(documentBytes, 'd');
+    auto const after = state.itemBytesAfter(change);
+    BOOST_TEST(after > before + documentBytes / 2);
+    state.apply({ .items = change });
+    BOOST_TEST(state.itemBytes() == after);
+    // What is in effect takes nothing more.
+    BOOST_TEST(state.itemBytesAfter(change) == after);
+    state.apply(routeRemoval("route", 3));
+    BOOST_TEST(state.itemBytes() <= before + documentBytes / 10);
+}
+
 BOOST_AUTO_TEST_CASE(TheRemovalOfAPoolThatARouteNamesIsRejected)
 {
     State state;
--- a/Utilities/ConsensusBench/Main.cpp
+++ b/Utilities/ConsensusBench/Main.cpp
@@ -96,10 +96,11 @@
         if (opened.isError())
             return 1;
         constexpr std::uint64_t batch = 256;
+        Payload const payload { std::string(payloadBytes, 'p') };
         for (std::uint64_t index = 2; index <= entries + 1;) {
             PersistRequest request;
             for (std::uint64_t i = 0; i < batch && index <= entries + 1; ++i, ++index)
-                request.entries.push_back({ { 1 }, { index }, Command { std::string(payloadBytes, 'p') } });
+                request.entries.push_back({ .term = { 1 }, .index = { index }, .content = Command { payload } });
             if (opened.value().store->persist(std::span(&request, 1)).isError())
                 return 1;
         }
