--- a/Libraries/LibStorage/FramedFile.cpp
+++ b/Libraries/LibStorage/FramedFile.cpp
@@ -11,17 +11,18 @@
 
 } // namespace
 
-std::string encodeFrame(std::string_view payload)
+std::string encodeFrameHeader(std::string_view payload)
 {
     std::string bytes;
     putInteger(bytes, frameMagic);
     putInteger(bytes, frameVersion);
     putInteger(bytes, std::uint64_t { payload.size() });
     putInteger(bytes, Core::hash64(payload, frameVersion));
-    bytes += payload;
     return bytes;
 }
 
+std::string encodeFrame(std::string_view payload) { return encodeFrameHeader(payload).append(payload); }
+
 Core::Result<std::string_view, StoreError> decodeFrame(
     std::string_view bytes, std::string const& file, CorruptionKind kind)
 {
@@ -43,11 +44,12 @@
 
 namespace {
 
-    Core::Result<Core::Void, DiskError> writeAndSync(
-        DiskInterface& disk, std::string const& file, std::string_view bytes)
+    using Writer = std::function<Core::Result<Core::Void, DiskError>(DiskFile&)>;
+
+    Core::Result<Core::Void, DiskError> writeAndSync(DiskInterface& disk, std::string const& file, Writer const& write)
     {
         auto output = TRY(disk.open(file, true));
-        TRY(output->append(bytes));
+        TRY(write(*output));
         return output->sync();
     }
 
@@ -55,9 +57,15 @@
 
 Core::Result<Core::Void, DiskError> writeFileAtomically(
     DiskInterface& disk, std::string const& file, std::string_view bytes)
+{
+    return writeFileAtomically(disk, file, [bytes](DiskFile& output) { return output.append(bytes); });
+}
+
+Core::Result<Core::Void, DiskError> writeFileAtomically(
+    DiskInterface& disk, std::string const& file, Writer const& write)
 {
     auto const temporary = file + std::string(temporarySuffix);
-    auto written = writeAndSync(disk, temporary, bytes);
+    auto written = writeAndSync(disk, temporary, write);
     if (written.isError()) {
         // Gives the space back. If this fails too, the file is replaced or removed later.
         static_cast<void>(disk.remove(temporary));
--- a/Libraries/LibStorage/Record.cpp
+++ b/Libraries/LibStorage/Record.cpp
@@ -1,4 +1,5 @@
 #include <LibCore/Hash.h>
+#include <LibCore/Memory.h>
 #include <LibStorage/Record.h>
 
 namespace Storage {
@@ -78,13 +79,22 @@
 
 } // namespace
 
-void Batch::add(RecordType type, std::string payload) { records_.push_back({ type, std::move(payload) }); }
+void Batch::add(RecordType type, std::string payload)
+{
+    payloadBytes_ += payload.size();
+    records_.push_back({ type, std::move(payload) });
+}
 
-std::string Batch::encode(std::uint64_t fileNumber, std::uint64_t batchNumber) const
+std::string Batch::take(std::uint64_t fileNumber, std::uint64_t batchNumber)
 {
     std::string bytes;
-    for (auto const& item : records_)
+    bytes.reserve(payloadBytes_ + records_.size() * recordHeaderBytes);
+    for (auto& item : records_) {
         putRecord(bytes, item.type, &item == &records_.back(), fileNumber, batchNumber, item.payload);
+        Core::releaseMemory(item.payload);
+    }
+    records_.clear();
+    payloadBytes_ = 0;
     return bytes;
 }
 
--- a/Libraries/LibStorage/Record.h
+++ b/Libraries/LibStorage/Record.h
@@ -32,8 +32,11 @@
 public:
     void add(RecordType, std::string payload);
     bool isEmpty() const { return records_.empty(); }
-    /// The bytes of all records. The checksums depend on the file, so that misplaced records are not taken for valid.
-    std::string encode(std::uint64_t fileNumber, std::uint64_t batchNumber) const;
+    /// The size of all payloads.
+    std::size_t payloadBytes() const { return payloadBytes_; }
+    /// Removes all records and returns their bytes. The checksums depend on the file, so that misplaced records are not
+    /// taken for valid.
+    std::string take(std::uint64_t fileNumber, std::uint64_t batchNumber);
 
 private:
     struct Item {
@@ -41,6 +44,7 @@
         std::string payload;
     };
     std::vector<Item> records_;
+    std::size_t payloadBytes_ { 0 };
 };
 
 std::string encodeDurableMark(std::uint64_t fileNumber, std::uint64_t batchNumber);
--- a/Libraries/LibStorage/Store.cpp
+++ b/Libraries/LibStorage/Store.cpp
@@ -23,6 +23,8 @@
     constexpr std::string_view logPrefix = "log-";
     constexpr std::string_view snapshotPrefix = "snapshot-";
     constexpr std::size_t numberDigits = 16;
+    /// A batch is written once its payloads exceed this, since it is held twice while it is encoded.
+    constexpr std::size_t maxBatchBytes = std::size_t { 2 } << 20;
 
     std::string numberedName(std::string_view prefix, std::uint64_t number)
     {
@@ -94,14 +96,15 @@
         return Core::Void {};
     }
 
-    std::string encodeSnapshot(Consensus::Snapshot const& snapshot)
+    std::string encodeSnapshotPayload(Consensus::Snapshot const& snapshot)
     {
         auto const metadata = Consensus::encodeSnapshotMetadata(snapshot.metadata);
         std::string payload;
+        payload.reserve(sizeof(std::uint32_t) + metadata.size() + snapshot.data->size());
         putInteger(payload, static_cast<std::uint32_t>(metadata.size()));
         payload += metadata;
         payload += *snapshot.data;
-        return encodeFrame(payload);
+        return payload;
     }
 
     Core::Result<Consensus::Snapshot, StoreError> decodeSnapshot(std::string_view bytes, std::string const& file)
@@ -175,12 +178,16 @@
     Core::Result<std::vector<std::uint64_t>, StoreError> currentFiles(std::vector<std::string> const& names);
     Core::Result<Core::Void, StoreError> write(std::span<Consensus::PersistRequest const>);
     Core::Result<Core::Void, StoreError> rewrite(Consensus::RecoveredState const&);
+    Core::Result<Core::Void, DiskError> writeWhole(
+        DiskFile&, std::uint64_t number, LogPosition start, Consensus::RecoveredState const&);
+    Core::Result<Core::Void, StoreError> repairTail();
     Core::Result<Core::Void, StoreError> flush();
     Core::Result<Core::Void, StoreError> markDurable();
     Core::Result<Core::Void, StoreError> startFile();
     Core::Result<Core::Void, StoreError> writeSnapshot(Consensus::Snapshot const&);
     Core::Result<Core::Void, StoreError> removeObsolete();
-    void add(Consensus::PersistRequest const&);
+    Core::Result<Core::Void, StoreError> add(Consensus::PersistRequest const&);
+    Core::Result<Core::Void, StoreError> addRecord(RecordType, std::string payload);
 
     DiskInterface& disk_;
     StoreSettings settings_;
@@ -192,8 +199,16 @@
     std::uint64_t fileSize_ { 0 };
     std::vector<LogFile> files_;
     std::uint64_t nextBatch_ { 1 };
-    /// On opening: what was read is not proved to be on the disk, or not in a form that can be continued.
-    bool mustRewrite_ { false };
+    /// What opening the store must write anew, since it is not proved to be on the disk or cannot be continued.
+    enum class Repair : std::uint8_t {
+        None,
+        /// The last file lacks its first batch.
+        LastFileStart,
+        /// The last batch of the last file. Each earlier file was durable before the next one was started.
+        LastFile,
+        Whole,
+    };
+    Repair repair_ { Repair::None };
     bool isMarkedFailed_ { false };
     Batch batch_;
     /// State with the records of `batch_` and without them.
@@ -220,7 +235,7 @@
             TRY(lifted(disk_.remove(name)));
     }
     TRY(lifted(writeFileAtomically(disk_, std::string(creatingFile), encodeIdentity(settings_))));
-    TRY(lifted(writeFileAtomically(disk_, std::string(healthyFile), {})));
+    TRY(lifted(writeFileAtomically(disk_, std::string(healthyFile), std::string_view())));
 
     Consensus::PersistRequest request { .hardState = state.hardState, .entries = state.entries };
     if (state.snapshot) {
@@ -307,7 +322,7 @@
                 return StoreError { Corruption {
                     CorruptionKind::DamagedFileHeader, file, scan.damageOffset.value_or(0) } };
             report.tornBytes += bytes.size();
-            mustRewrite_ = true;
+            repair_ = Repair::LastFileStart;
             break;
         }
         if (!files_.empty() && scan.firstBatch != nextBatch_)
@@ -324,7 +339,8 @@
         nextBatch_ = scan.firstBatch + scan.batchCount;
         fileSize_ = scan.soundEnd;
         // A batch without its mark may never have been synced, or its sync may have failed.
-        mustRewrite_ = mustRewrite_ || (isLast && (scan.damageOffset || !scan.isLastBatchMarked));
+        if (isLast && (scan.damageOffset || !scan.isLastBatchMarked))
+            repair_ = Repair::LastFile;
         if (scan.damageOffset)
             report.tornBytes += bytes.size() - scan.soundEnd;
     }
@@ -375,7 +391,8 @@
     if (state.snapshot)
         start = { state.snapshot->metadata.index, state.snapshot->metadata.term };
     auto const mustReset = TRY(replay.startFrom(start, numberedName(logPrefix, files_.front().number)));
-    mustRewrite_ = mustRewrite_ || mustReset || isMarkedFailed_;
+    if (mustReset || isMarkedFailed_)
+        repair_ = Repair::Whole;
     hardState_ = replay.hardState;
     end_ = replay.end();
     durableHardState_ = hardState_;
@@ -389,14 +406,36 @@
 Core::Result<Core::Void, StoreError> Store::Engine::prepare(Consensus::RecoveredState const& state)
 {
     removeLeftovers();
-    if (mustRewrite_)
+    switch (repair_) {
+    case Repair::Whole:
         return rewrite(state);
+    case Repair::LastFileStart:
+        TRY(startFile());
+        return removeObsolete();
+    case Repair::LastFile:
+        TRY(repairTail());
+        return removeObsolete();
+    case Repair::None:
+        break;
+    }
     file_ = TRY(lifted(disk_.open(numberedName(logPrefix, files_.back().number), false)));
     TRY(lifted(file_->sync()));
     TRY(lifted(disk_.syncDirectory()));
     return removeObsolete();
 }
 
+/// Replaces the last file by a durable one with the same complete batches.
+Core::Result<Core::Void, StoreError> Store::Engine::repairTail()
+{
+    auto const name = numberedName(logPrefix, files_.back().number);
+    auto bytes = TRY(lifted(disk_.read(name)));
+    bytes.resize(fileSize_);
+    TRY(lifted(writeFileAtomically(disk_, name, bytes)));
+    bytesWritten_ += bytes.size();
+    file_ = TRY(lifted(disk_.open(name, false)));
+    return markDurable();
+}
+
 /// Removes unfinished files. A failure does no harm: they are replaced or removed later.
 void Store::Engine::removeLeftovers()
 {
@@ -442,7 +481,7 @@
             TRY(writeSnapshot(*request.snapshot));
             hasSnapshot = true;
         }
-        add(request);
+        TRY(add(request));
     }
     TRY(flush());
     if (hasSnapshot)
@@ -461,19 +500,12 @@
         start = { state.snapshot->metadata.index, state.snapshot->metadata.term };
         TRY(writeSnapshot(*state.snapshot));
     }
-    Batch whole;
-    whole.add(RecordType::Reset, encodePosition(start));
-    whole.add(RecordType::HardState, Consensus::encodeHardState(state.hardState));
-    for (auto const& entry : state.entries)
-        whole.add(RecordType::Entry, Consensus::encodeEntry(entry));
     auto const number = files_.empty() ? 1 : files_.back().number + 1;
     auto const name = numberedName(logPrefix, number);
-    auto const bytes = encodeFileHeader(number, nextBatch_) + whole.encode(number, nextBatch_);
-    TRY(lifted(writeFileAtomically(disk_, name, bytes)));
+    TRY(lifted(
+        writeFileAtomically(disk_, name, [&](DiskFile& file) { return writeWhole(file, number, start, state); })));
     files_ = { { number, start.index } };
-    ++nextBatch_;
-    fileSize_ = bytes.size();
-    bytesWritten_ += bytes.size();
+    bytesWritten_ += fileSize_;
     hardState_ = state.hardState;
     durableHardState_ = hardState_;
     end_ = state.entries.empty() ? start : LogPosition { state.entries.back().index, state.entries.back().term };
@@ -488,20 +520,57 @@
     return removeObsolete();
 }
 
-void Store::Engine::add(Consensus::PersistRequest const& request)
+/// Writes the whole state as the content of a file of the log, and counts its bytes and batches. No batch needs a
+/// `Durable` record, since the file appears under its name only once all of it is durable.
+Core::Result<Core::Void, DiskError> Store::Engine::writeWhole(
+    DiskFile& file, std::uint64_t number, LogPosition start, Consensus::RecoveredState const& state)
+{
+    auto const header = encodeFileHeader(number, nextBatch_);
+    TRY(file.append(header));
+    fileSize_ = header.size();
+    Batch batch;
+    auto const writeBatch = [&]() -> Core::Result<Core::Void, DiskError> {
+        auto const bytes = batch.take(number, nextBatch_);
+        TRY(file.append(bytes));
+        ++nextBatch_;
+        fileSize_ += bytes.size();
+        return Core::Void {};
+    };
+    batch.add(RecordType::Reset, encodePosition(start));
+    batch.add(RecordType::HardState, Consensus::encodeHardState(state.hardState));
+    for (auto const& entry : state.entries) {
+        if (batch.payloadBytes() >= maxBatchBytes)
+            TRY(writeBatch());
+        batch.add(RecordType::Entry, Consensus::encodeEntry(entry));
+    }
+    return writeBatch();
+}
+
+Core::Result<Core::Void, StoreError> Store::Engine::add(Consensus::PersistRequest const& request)
 {
     if (request.snapshot && request.discardsLog) {
-        end_ = { request.snapshot->metadata.index, request.snapshot->metadata.term };
-        batch_.add(RecordType::Reset, encodePosition(end_));
+        LogPosition const end { request.snapshot->metadata.index, request.snapshot->metadata.term };
+        TRY(addRecord(RecordType::Reset, encodePosition(end)));
+        end_ = end;
     }
     if (request.hardState) {
+        TRY(addRecord(RecordType::HardState, Consensus::encodeHardState(*request.hardState)));
         hardState_ = *request.hardState;
-        batch_.add(RecordType::HardState, Consensus::encodeHardState(hardState_));
     }
     for (auto const& entry : request.entries) {
+        TRY(addRecord(RecordType::Entry, Consensus::encodeEntry(entry)));
         end_ = { entry.index, entry.term };
-        batch_.add(RecordType::Entry, Consensus::encodeEntry(entry));
     }
+    return Core::Void {};
+}
+
+/// The state that the record leads to must be noted after this call, which may write the records before it.
+Core::Result<Core::Void, StoreError> Store::Engine::addRecord(RecordType type, std::string payload)
+{
+    if (batch_.payloadBytes() >= maxBatchBytes)
+        TRY(flush());
+    batch_.add(type, std::move(payload));
+    return Core::Void {};
 }
 
 Core::Result<Core::Void, StoreError> Store::Engine::flush()
@@ -510,10 +579,9 @@
         return Core::Void {};
     if (!file_ || fileSize_ >= settings_.segmentBytes)
         TRY(startFile());
-    auto const bytes = batch_.encode(files_.back().number, nextBatch_);
+    auto const bytes = batch_.take(files_.back().number, nextBatch_);
     TRY(lifted(file_->append(bytes)));
     TRY(lifted(file_->sync()));
-    batch_ = {};
     ++nextBatch_;
     fileSize_ += bytes.size();
     bytesWritten_ += bytes.size();
@@ -543,7 +611,7 @@
     Batch first;
     first.add(RecordType::Continue, encodePosition(durableEnd_));
     first.add(RecordType::HardState, Consensus::encodeHardState(durableHardState_));
-    auto const bytes = encodeFileHeader(number, nextBatch_) + first.encode(number, nextBatch_);
+    auto const bytes = encodeFileHeader(number, nextBatch_) + first.take(number, nextBatch_);
     file_ = TRY(lifted(disk_.open(numberedName(logPrefix, number), true)));
     TRY(lifted(file_->append(bytes)));
     TRY(lifted(file_->sync()));
@@ -557,10 +625,14 @@
 
 Core::Result<Core::Void, StoreError> Store::Engine::writeSnapshot(Consensus::Snapshot const& snapshot)
 {
-    auto const bytes = encodeSnapshot(snapshot);
+    auto const payload = encodeSnapshotPayload(snapshot);
+    auto const header = encodeFrameHeader(payload);
     auto const file = numberedName(snapshotPrefix, snapshot.metadata.index.value);
-    TRY(lifted(writeFileAtomically(disk_, file, bytes)));
-    bytesWritten_ += bytes.size();
+    TRY(lifted(writeFileAtomically(disk_, file, [&](DiskFile& output) -> Core::Result<Core::Void, DiskError> {
+        TRY(output.append(header));
+        return output.append(payload);
+    })));
+    bytesWritten_ += header.size() + payload.size();
     if (std::ranges::find(snapshots_, snapshot.metadata.index) == snapshots_.end())
         snapshots_.push_back(snapshot.metadata.index);
     return Core::Void {};
--- a/Libraries/LibStorage/Store.h
+++ b/Libraries/LibStorage/Store.h
@@ -51,7 +51,8 @@
     Store(Store const&) = delete;
     Store& operator=(Store const&) = delete;
 
-    /// Makes all requests durable, with one fsync unless a snapshot is among them, and returns the last sequence. After
+    /// Makes all requests durable, with one fsync for each few megabytes and for each snapshot, and returns the
+    /// last sequence. After
     /// an error, every later call fails with the same error until one includes a request with
     /// `PersistRequest::replacesAll`, which makes the requests before it superfluous.
     Core::Result<Consensus::PersistSequence, StoreError> persist(std::span<Consensus::PersistRequest const>);
--- a/Tests/LibStorage/TestStore.cpp
+++ b/Tests/LibStorage/TestStore.cpp
@@ -318,6 +318,65 @@
     }
 }
 
+// Guards against a start that writes a log of any size anew, and then has room for it neither in memory nor on the
+// disk, because the process was killed before the last batch had its mark.
+BOOST_AUTO_TEST_CASE(OnlyTheLastFileIsWrittenAnewWithoutAMark)
+{
+    constexpr std::uint64_t lastEntry = 200;
+    for (auto const hasTornTail : { false, true }) {
+        Test::FakeDisk disk(1);
+        create(disk, settings(smallSegment));
+        auto opened = open(disk, settings(smallSegment));
+        append(*opened.store, 2, lastEntry);
+        auto const written = opened.store->bytesWritten();
+        BOOST_REQUIRE(written > 10 * smallSegment);
+        opened.store.reset();
+        auto& last = disk.contentOf(lastLogFile(disk));
+        last.resize(last.size() - (hasTornTail ? recordHeaderBytes + 1 : recordHeaderBytes));
+        disk.setFreeBytes(2 * smallSegment);
+        auto again = open(disk, settings(smallSegment));
+        BOOST_TEST(again.state.isDurable);
+        BOOST_TEST(again.state.entries.size() == (hasTornTail ? lastEntry - 1 : lastEntry));
+        BOOST_TEST(again.store->bytesWritten() <= 2 * smallSegment);
+        // The log goes on behind it, also after a loss of power.
+        auto const next = again.state.entries.size() + 1;
+        append(*again.store, next, next + 3);
+        again.store.reset();
+        disk.crash();
+        auto const third = open(disk, settings(smallSegment));
+        BOOST_TEST(third.state.entries.size() == next + 3);
+    }
+}
+
+// Guards against a request that is held three times while it is written.
+BOOST_AUTO_TEST_CASE(ALargeRequestIsWrittenInPartsThatAreReadAsOne)
+{
+    constexpr std::size_t large = std::size_t { 1 } << 20;
+    std::vector<LogEntry> entries;
+    for (std::uint64_t index = 2; index <= 9; ++index)
+        entries.push_back(entry(index, 1, std::string(large, static_cast<char>('a' + index))));
+    Test::FakeDisk disk(1);
+    create(disk);
+    auto opened = open(disk);
+    auto const syncs = disk.syncs();
+    BOOST_REQUIRE(!persist(*opened.store, { .entries = entries }).isError());
+    BOOST_TEST(disk.syncs() > syncs + 2);
+    opened.store.reset();
+    disk.crash();
+    auto again = open(disk);
+    BOOST_REQUIRE(again.state.entries.size() == entries.size() + 1);
+    BOOST_TEST((std::vector<LogEntry>(again.state.entries.begin() + 1, again.state.entries.end()) == entries));
+    // The whole state in one request.
+    PersistRequest const whole {
+        .replacesAll = true, .hardState = again.state.hardState, .entries = again.state.entries
+    };
+    BOOST_REQUIRE(!persist(*again.store, whole).isError());
+    again.store.reset();
+    disk.crash();
+    auto const third = open(disk);
+    BOOST_TEST((third.state.entries == whole.entries));
+}
+
 BOOST_AUTO_TEST_CASE(DamagedBytesInTheTailDoNotPassAsARecord)
 {
     // Each byte of a last batch without its mark, damaged one at a time: the batch is gone as a whole.
