--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -312,6 +312,8 @@
         channel.send(makeFrame(FrameType::Leader, hint()));
         return;
     }
+    for (auto const& fingerprint : hello.quarantined)
+        coordinator_->crashSuspects().adopt(fingerprint, loop_.now());
     publish();
     channel.send(makeFrame(FrameType::Leader, hint()));
     entryChannels_[&channel] = hello.entryHost;
@@ -465,8 +467,7 @@
     auto occupancies = coordinator_->takeOccupancyChanges();
     std::ranges::move(occupancies, std::back_inserter(update_.occupancies.rows));
     publishRequestLimits();
-    if (coordinator_->hasNewQuarantine())
-        update_.quarantined = coordinator_->quarantined(now);
+    publishCrashSuspects();
     if (update_.isEmpty())
         return;
     auto const frame = makeViewFrame(update_);
@@ -498,6 +499,19 @@
     }
 }
 
+void ControlHost::publishCrashSuspects()
+{
+    auto& suspects = coordinator_->crashSuspects();
+    for (auto const& decision : suspects.takeDecisions())
+        events_.write(decision.isQuarantined ? EventId::QuarantineAdded : EventId::QuarantineLifted,
+            { { "fingerprint", decision.fingerprint }, { "crashedServers", decision.crashedServers } });
+    if (!suspects.takeChange())
+        return;
+    update_.quarantined = suspects.quarantined();
+    update_.suspects = suspects.suspects();
+    metrics_.setCrashSuspects(update_.suspects->size(), update_.quarantined->size());
+}
+
 void ControlHost::publishRequestLimits()
 {
     for (auto const& row : coordinator_->takeRequestLimitChanges(loop_.now())) {
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -74,6 +74,8 @@
     void reportEntryHostsBehind();
     void onReservationRequest(Net::FrameChannel&, Fleet::ReservationRequest const&);
     void onQuotaRequest(Net::FrameChannel&, Fleet::QuotaRequest const&);
+    /// Publishes the suspects and the quarantine if they have changed, and logs each decision.
+    void publishCrashSuspects();
     void publishRequestLimits();
     void logChanges(Fleet::Command const&, Fleet::ApplyResult const&);
     void onHint(LeaderHint const&);
--- a/Libraries/LibControlHost/Frames.h
+++ b/Libraries/LibControlHost/Frames.h
@@ -42,8 +42,11 @@
     std::string entryHost;
     /// The revision of the configuration items that the entry host has from an earlier leader; zero for none.
     std::uint64_t itemRevision { 0 };
+    /// The requests that an earlier leader has quarantined.
+    std::vector<std::string> quarantined;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Hello, entryHost, itemRevision)
+// An entry host of an earlier version does not send the quarantine.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Hello, entryHost, itemRevision, quarantined)
 
 /// The answer of a host that may not be the leader: the hosts that the sender should contact.
 struct LeaderHint {
--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -35,19 +35,6 @@
     constexpr std::size_t maxGrantBytes = 3900;
     /// The size of a range in the answer to a heartbeat without its handover text.
     constexpr std::size_t bytesPerRange = 25;
-    /// The time within which the removal of a server must follow a suspicion for the crash to be attributed to the
-    /// request.
-    constexpr Core::Duration suspicionTime = std::chrono::seconds(20);
-
-    Policy::QuarantineSettings quarantineSettings()
-    {
-        Policy::QuarantineSettings settings;
-        // Two servers may fail at once for reasons unrelated to the request.
-        settings.serversToQuarantine = 3;
-        settings.suspicionTime = std::chrono::minutes(1);
-        return settings;
-    }
-
     bool covers(std::uint32_t first, std::uint32_t last, KeyRange const& range)
     {
         return first <= range.first && range.last <= last;
@@ -66,8 +53,11 @@
     , startedAt_(now)
     , quotas_(settings.quotas, now)
     , lastBalance_(now)
-    , crashes_(quarantineSettings())
 {
+    for (auto const& [number, server] : state_.servers()) {
+        if (server.isDraining)
+            crashSuspects_.onLeaving(number);
+    }
     for (auto const& [name, pool] : state_.pools()) {
         for (auto const& range : state_.keyRanges({ name })) {
             auto& rangeState = ranges_[{ name }][range.first];
@@ -281,13 +271,13 @@
 
 void Coordinator::onApplied(Core::TimePoint now, Command const& command, ApplyResult const& applied)
 {
+    noteEnds(now, command, applied);
     for (auto const number : applied.joined) {
         auto const* const server = state_.findServer(number);
         if (server)
             joins_.try_emplace(server->pool, PoolJoins { now, now }).first->second.latest = now;
     }
     for (auto const number : applied.removedServers) {
-        confirmSuspicions(number, now);
         occupancies_.remove(number);
         limits_.remove(number);
     }
@@ -335,30 +325,20 @@
     }
 }
 
-void Coordinator::confirmSuspicions(ServerNumber number, Core::TimePoint now)
+void Coordinator::noteEnds(Core::TimePoint now, Command const& command, ApplyResult const& applied)
 {
-    auto const found = suspicions_.extract(number);
-    if (found.empty())
-        return;
-    for (auto const& suspicion : found.mapped()) {
-        if (now - suspicion.at > suspicionTime)
-            continue;
-        auto const digest = Core::digest128(suspicion.fingerprint);
-        fingerprints_[digest] = suspicion.fingerprint;
-        if (crashes_.recordCrash(now, digest, { std::to_string(number) }))
-            hasNewQuarantine_ = true;
+    for (auto const number : applied.changedServers)
+        crashSuspects_.onLeaving(number);
+    for (auto const number : applied.joined) {
+        if (auto const* const server = state_.findServer(number); server && server->isDraining)
+            crashSuspects_.onLeaving(number);
     }
-}
-
-std::vector<std::string> Coordinator::quarantined(Core::TimePoint now) const
-{
-    std::vector<std::string> result;
-    for (auto const& entry : crashes_.quarantined(now)) {
-        auto const found = fingerprints_.find(entry.fingerprint);
-        if (found != fingerprints_.end())
-            result.push_back(found->second);
+    for (auto const number : applied.removedServers) {
+        // A server that is replaced by a newer incarnation has not said that it ends.
+        if (std::ranges::count(command.servers.removed, number) == 0)
+            crashSuspects_.onCrash(number, now);
+        crashSuspects_.onRemoved(number);
     }
-    return result;
 }
 
 void Coordinator::onLoadReport(Core::TimePoint now, LoadReport const& report)
@@ -401,11 +381,15 @@
     }
     for (auto const number : report.leaving) {
         auto const* const known = state_.findServer(number);
+        if (known)
+            crashSuspects_.onLeaving(number);
         if (known && !known->isDraining && !std::exchange(servers_[number].isDrainProposed, true))
             pending_.servers.draining.push_back(number);
     }
     for (auto const& suspicion : report.suspicions)
-        suspicions_[suspicion.server].push_back({ suspicion.fingerprint, now });
+        crashSuspects_.suspect(suspicion.server, suspicion.fingerprint, now);
+    for (auto const& fingerprint : report.harmless)
+        crashSuspects_.clear(fingerprint, now);
 }
 
 Reservation Coordinator::reserve(Core::TimePoint now, ReservationRequest const& request)
@@ -450,6 +434,11 @@
         if (now - lastHeartbeat > serverExpiry)
             pending_.servers.removed.push_back(number);
     }
+    for (auto const number : crashSuspects_.suspectedServers()) {
+        if (isPresumedDown(number, now))
+            crashSuspects_.onCrash(number, now);
+    }
+    crashSuspects_.tick(now);
     plan(now);
     auto const isDue = now - lastBalance_ >= balanceInterval;
     if (!isDue && !std::exchange(wasSplit_, false))
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibFleet/CrashSuspects.h>
 #include <LibFleet/OccupancyEstimates.h>
 #include <LibFleet/OverloadShares.h>
 #include <LibFleet/RangePlacement.h>
 #include <LibFleet/Reservation.h>
 #include <LibFleet/State.h>
 #include <LibFleet/WorkspaceQuotas.h>
-#include <LibPolicy/CrashTracker.h>
 
 #include <unordered_map>
 
@@ -92,6 +92,8 @@
     std::vector<Contact> contacts;
     std::vector<Latency> latencies;
     std::vector<Suspicion> suspicions;
+    /// The suspected or quarantined requests that a server has answered.
+    std::vector<std::string> harmless;
     std::vector<Occupancy> occupancies;
     /// The limits of the servers whose answers said something about them since the last report.
     std::vector<RequestLimitRow> requestLimits;
@@ -102,7 +104,8 @@
 
     bool isEmpty() const
     {
-        return arrivals.empty() && contacts.empty() && suspicions.empty() && requestLimits.empty() && leaving.empty();
+        return arrivals.empty() && contacts.empty() && suspicions.empty() && harmless.empty() && requestLimits.empty()
+            && leaving.empty();
     }
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Arrivals, pool, keys)
@@ -112,7 +115,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LoadReport::Occupancy, server, reports, requests)
 // An entry host of an earlier version sends only the first of these.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    LoadReport, arrivals, contacts, latencies, suspicions, occupancies, requestLimits, leaving, itemRevision)
+    LoadReport, arrivals, contacts, latencies, suspicions, harmless, occupancies, requestLimits, leaving, itemRevision)
 
 /// The owner to which entry hosts send requests for a key range. While there is no owner, they queue or reject
 /// requests.
@@ -166,9 +169,9 @@
     std::vector<RequestLimitRow> takeRequestLimitChanges(Core::TimePoint now) { return limits_.takeChanges(now); }
     std::vector<RequestLimitRow> allRequestLimits(Core::TimePoint now) const { return limits_.all(now); }
     Core::Duration remainingColdTime(ServerNumber, Core::TimePoint now) const;
-    /// Returns the fingerprints of requests that crashed several servers.
-    std::vector<std::string> quarantined(Core::TimePoint now) const;
-    bool hasNewQuarantine() { return std::exchange(hasNewQuarantine_, false); }
+    /// The requests that crash the servers that run them.
+    CrashSuspects& crashSuspects() { return crashSuspects_; }
+    CrashSuspects const& crashSuspects() const { return crashSuspects_; }
 
 private:
     struct ServerState {
@@ -205,10 +208,6 @@
         double admittedFraction { 1 };
     };
     using RangeStates = std::map<std::uint32_t, RangeState>;
-    struct Suspicion {
-        std::string fingerprint;
-        Core::TimePoint at;
-    };
     /// The state of a server that planning depends on. It is computed once a round, since a server has many ranges.
     struct ServerEligibility {
         bool isPresent { false };
@@ -275,7 +274,8 @@
     void propose(Core::PoolName const&, KeyRange const&, RangeState&, ServerNumber to, std::string handover);
     void publish(Core::PoolName const&, KeyRange const&, RangeState&);
     void updateLoads();
-    void confirmSuspicions(ServerNumber, Core::TimePoint now);
+    /// Tells crashes from planned ends among the servers that a command changed.
+    void noteEnds(Core::TimePoint now, Command const&, ApplyResult const&);
 
     /// The interval at which loads are updated and ranges are rebalanced, the same as that of the reports of entry
     /// hosts.
@@ -305,10 +305,7 @@
     Core::TimePoint lastBalance_;
     bool wasSplit_ { false };
     bool haveOccupanciesAdvanced_ { false };
-    std::unordered_map<ServerNumber, std::vector<Suspicion>> suspicions_;
-    Policy::CrashTracker crashes_;
-    std::map<Core::Digest, std::string> fingerprints_;
-    bool hasNewQuarantine_ { false };
+    CrashSuspects crashSuspects_;
 };
 
 } // namespace Fleet
--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -248,6 +248,7 @@
         out["occupancies"] = update.occupancies;
     putUnlessEmpty(out, "requestLimits", update.requestLimits);
     putIfSet(out, "quarantined", update.quarantined);
+    putIfSet(out, "suspects", update.suspects);
     putIfSet(out, "entryHosts", update.entryHosts);
 }
 
@@ -268,6 +269,7 @@
     readIfPresent(in, "occupancies", update.occupancies);
     readIfPresent(in, "requestLimits", update.requestLimits);
     readOptionalIfPresent(in, "quarantined", update.quarantined);
+    readOptionalIfPresent(in, "suspects", update.suspects);
     readOptionalIfPresent(in, "entryHosts", update.entryHosts);
 }
 
@@ -275,7 +277,7 @@
 {
     return !isWhole && itemRevision == 0 && routes.empty() && pools.empty() && workspaces.empty() && !limits
         && !evacuated && servers.empty() && removedServers.empty() && ranges.rows.empty() && occupancies.rows.empty()
-        && requestLimits.empty() && !quarantined && !entryHosts;
+        && requestLimits.empty() && !quarantined && !suspects && !entryHosts;
 }
 
 void addServer(
@@ -304,7 +306,8 @@
     update.ranges.rows = coordinator.allRows();
     update.occupancies.rows = coordinator.allOccupancies();
     update.requestLimits = coordinator.allRequestLimits(now);
-    update.quarantined = coordinator.quarantined(now);
+    update.quarantined = coordinator.crashSuspects().quarantined();
+    update.suspects = coordinator.crashSuspects().suspects();
     return update;
 }
 
@@ -367,6 +370,8 @@
             = { row.last, { row.owner, now + std::chrono::milliseconds(row.waitMs), row.admittedFraction } };
     if (update.quarantined)
         quarantined_ = { update.quarantined->begin(), update.quarantined->end() };
+    if (update.suspects)
+        suspects_ = { update.suspects->begin(), update.suspects->end() };
     if (update.entryHosts)
         entryHosts_ = *update.entryHosts;
     return removed;
--- a/Libraries/LibFleet/View.h
+++ b/Libraries/LibFleet/View.h
@@ -61,7 +61,9 @@
     RangeRows ranges;
     ServerOccupancies occupancies;
     std::vector<RequestLimitRow> requestLimits;
+    /// The requests that are refused, and those that the receiver reports if a server answers them.
     std::optional<std::vector<std::string>> quarantined;
+    std::optional<std::vector<std::string>> suspects;
     /// The sorted names of the entry hosts that share the limits of the fleet.
     std::optional<std::vector<std::string>> entryHosts;
 
@@ -140,7 +142,9 @@
 
     /// Returns the owner of a key. Null if the keys of the pool were never assigned.
     KeyOwner const* findOwner(Core::PoolName const&, std::uint32_t key) const;
-    bool isQuarantined(std::string const& fingerprint) const { return quarantined_.contains(fingerprint); }
+    std::set<std::string> const& quarantined() const { return quarantined_; }
+    /// The requests of which it is to be known whether servers answer them.
+    std::set<std::string> const& suspects() const { return suspects_; }
     /// The number of entry hosts that share the limits of the fleet; at least one.
     std::uint32_t entryHostCount() const;
     /// The index of an entry host in the sorted list of entry hosts. Empty if the host is not in the list yet.
@@ -166,6 +170,7 @@
     /// For each pool, the last key and the owner of each range by the first key of the range.
     std::map<Core::PoolName, std::map<std::uint32_t, std::pair<std::uint32_t, KeyOwner>>> ranges_;
     std::set<std::string> quarantined_;
+    std::set<std::string> suspects_;
     std::vector<std::string> entryHosts_;
 };
 
--- a/Libraries/LibGateway/EntryHost.h
+++ b/Libraries/LibGateway/EntryHost.h
@@ -37,6 +37,7 @@
     void onReservation(Fleet::ReservationReply const& reply) override { gateway_.onReservation(reply); }
     void onQuotaReply(Fleet::QuotaReply const& reply) override { gateway_.onQuotaReply(reply); }
     std::uint64_t itemRevision() const override { return gateway_.itemRevision(); }
+    std::vector<std::string> quarantined() const override { return gateway_.quarantined(); }
     bool send(Fleet::ReservationRequest const& request) override { return leaderConnection_.reserve(request); }
     bool send(Fleet::QuotaRequest const& request) override { return leaderConnection_.requestQuota(request); }
     void sendReport();
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -132,7 +132,7 @@
     pool_ = share->pool;
     cost_ = gateway_.costs_.relativeCost({ pool_, route_, body_->size() });
     gateway_.retryBudgetOf(pool_).countRequest(gateway_.loop_.now());
-    if (gateway_.view_.isQuarantined(fingerprint())) {
+    if (isQuarantined()) {
         refuse("quarantined", defaultRetryAfter);
         return false;
     }
@@ -155,10 +155,19 @@
     return false;
 }
 
-std::string Exchange::fingerprint() const
+Core::Digest const& Exchange::fingerprint()
 {
-    auto const digest = Core::digest128(request_.head.method + " " + request_.head.target + "\n" + *body_);
-    return Core::RequestId { digest.high, digest.low }.toString();
+    if (!fingerprint_) {
+        auto const body = Core::digest128(*body_);
+        fingerprint_ = Core::digest128(request_.head.method + " " + request_.head.target + "\n" + toText(body));
+    }
+    return *fingerprint_;
+}
+
+bool Exchange::isQuarantined()
+{
+    auto const& quarantined = gateway_.view_.quarantined();
+    return !quarantined.empty() && quarantined.contains(toText(fingerprint()));
 }
 
 void Exchange::dispatch()
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -101,7 +101,9 @@
     void cancelTimers();
     Core::Duration remainingTime() const { return deadline_ - gateway_.loop_.now(); }
     bool isSafe() const { return kind_ == Fleet::RequestKind::Safe; }
-    std::string fingerprint() const;
+    /// Identifies the request by its method, target and body.
+    Core::Digest const& fingerprint();
+    bool isQuarantined();
 
     Gateway& gateway_;
     Net::ExchangeId id_;
@@ -121,6 +123,7 @@
     std::int32_t priority_ { 0 };
     /// The cost of the request relative to the average one of its pool.
     double cost_ { 1 };
+    std::optional<Core::Digest> fingerprint_;
     std::uint32_t maxAttempts_ { 1 };
     std::uint32_t sends_ { 0 };
     Core::TimePoint deadline_;
--- a/Libraries/LibGateway/ExchangeOutcomes.cpp
+++ b/Libraries/LibGateway/ExchangeOutcomes.cpp
@@ -68,6 +68,7 @@
         fail(statusBadGateway, "refused-after-unknown-send");
         return;
     }
+    gateway_.recordAnswered(fingerprint());
     relay(std::move(answer));
 }
 
@@ -139,7 +140,7 @@
     }
     if (server)
         gateway_.loadOf(server->record).onBrokenAnswer(now);
-    gateway_.suspicions_.push_back({ fingerprint(), server_ });
+    gateway_.suspicions_.push_back({ toText(fingerprint()), server_ });
     mayHaveRun_ = true;
     mayHaveRunAt_.insert(server_);
     if (isSafe() && remainingTime() > sameServerPause && tryStartRetry()) {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -85,6 +85,8 @@
         || !update.removedServers.empty())
         subsets_.clear();
     applyRequestLimits(update);
+    if (update.suspects || update.quarantined)
+        verifySuspects();
     for (auto const& occupancy : update.occupancies.rows) {
         if (auto const* const server = view_.findServer(occupancy.server))
             loadOf(server->record)
@@ -360,6 +362,27 @@
     occupancy.requests += load.running + load.waiting;
 }
 
+void Gateway::recordAnswered(Core::Digest const& fingerprint)
+{
+    recentAnswers_.record(fingerprint, loop_.now());
+    if (view_.suspects().empty() && view_.quarantined().empty())
+        return;
+    auto text = toText(fingerprint);
+    if (view_.suspects().contains(text) || view_.quarantined().contains(text))
+        harmless_.insert(std::move(text));
+}
+
+void Gateway::verifySuspects()
+{
+    for (auto const* const list : { &view_.suspects(), &view_.quarantined() }) {
+        for (auto const& text : *list) {
+            auto const id = Core::RequestId::parse(text);
+            if (id && recentAnswers_.contains({ id->high, id->low }, loop_.now()))
+                harmless_.insert(text);
+        }
+    }
+}
+
 Fleet::LoadReport Gateway::takeReport()
 {
     Fleet::LoadReport report;
@@ -384,6 +407,8 @@
     if (suspicions_.size() > maxSuspicions)
         suspicions_.resize(maxSuspicions);
     report.suspicions = std::exchange(suspicions_, {});
+    report.harmless.assign(harmless_.begin(), harmless_.end());
+    harmless_.clear();
     arrivals_.clear();
     latencies_.clear();
     contacts_.clear();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -3,6 +3,7 @@
 #include <LibCore/Random.h>
 #include <LibGateway/CallerPatience.h>
 #include <LibGateway/PoolSplit.h>
+#include <LibGateway/RecentAnswers.h>
 #include <LibGateway/RequestCosts.h>
 #include <LibGateway/Reservations.h>
 #include <LibGateway/RetryBudgetShare.h>
@@ -62,6 +63,7 @@
     void onQuotaReply(Fleet::QuotaReply const& reply) { workspaceLimiter_.onReply(reply); }
     bool isReady() const { return view_.isConfigured(); }
     std::uint64_t itemRevision() const { return view_.itemRevision(); }
+    std::vector<std::string> quarantined() const { return { view_.quarantined().begin(), view_.quarantined().end() }; }
     /// Closes each connection after its next answer, and limits the deadline of every request to this time.
     void startDraining(Core::TimePoint deadline);
     /// Refuses requests from now on.
@@ -130,6 +132,10 @@
     void countAnswer(Fleet::ServerNumber server) { ++contacts_[server].answers; }
     void countOccupancy(Fleet::ServerNumber, ServerLoadReport const&);
     void countRefusal(Fleet::ServerNumber server) { ++contacts_[server].refusals; }
+    /// A server has run this request and answered.
+    void recordAnswered(Core::Digest const& fingerprint);
+    /// Notes which suspected or quarantined requests servers have answered of late.
+    void verifySuspects();
 
     Net::EventLoop& loop_;
     Telemetry::EventLog& events_;
@@ -155,6 +161,9 @@
     std::map<Fleet::ServerNumber, Fleet::LoadReport::Contact> contacts_;
     std::map<Fleet::ServerNumber, Fleet::LoadReport::Occupancy> occupancies_;
     std::vector<Fleet::LoadReport::Suspicion> suspicions_;
+    RecentAnswers recentAnswers_;
+    /// The suspected or quarantined requests that servers have answered since the last report.
+    std::set<std::string> harmless_;
     bool isAccepting_ { true };
     /// The time by which every request must be answered; set while the host stops.
     std::optional<Core::TimePoint> drainDeadline_;
--- a/Libraries/LibGateway/LeaderConnection.cpp
+++ b/Libraries/LibGateway/LeaderConnection.cpp
@@ -109,7 +109,8 @@
 
 void LeaderConnection::onOpen(Net::FrameChannel& channel)
 {
-    channel.send(ControlHost::makeFrame(FrameType::Hello, ControlHost::Hello { name_, handler_.itemRevision() }));
+    ControlHost::Hello const hello { name_, handler_.itemRevision(), handler_.quarantined() };
+    channel.send(ControlHost::makeFrame(FrameType::Hello, hello));
 }
 
 void LeaderConnection::onFrame(Net::FrameChannel& channel, std::string_view frame)
--- a/Libraries/LibGateway/LeaderConnection.h
+++ b/Libraries/LibGateway/LeaderConnection.h
@@ -15,6 +15,8 @@
     virtual void onQuotaReply(Fleet::QuotaReply const&) = 0;
     /// The revision of the configuration items that this entry host has, so that a leader sends only newer ones.
     virtual std::uint64_t itemRevision() const = 0;
+    /// The requests that this entry host refuses, so that a new leader knows them.
+    virtual std::vector<std::string> quarantined() const = 0;
 };
 
 /// The connection of an entry host to the control leader.
--- a/Libraries/LibTelemetry/Metrics.cpp
+++ b/Libraries/LibTelemetry/Metrics.cpp
@@ -93,6 +93,8 @@
         = gauge(r, "primroseshift_raft_snapshot_bytes", "Bytes of the last durable snapshot of this host.");
     Family<Gauge>& configurationBytes
         = gauge(r, "primroseshift_configuration_bytes", "Bytes of the configuration items.");
+    Family<Gauge>& crashSuspects = gauge(r, "primroseshift_crash_suspects",
+        "Requests that crashed servers: those being verified and those refused, by state.");
     Family<Gauge>& storageSound
         = gauge(r, "primroseshift_storage_sound", "Whether the disk of this host accepts writes.");
     Family<Counter>& elections = counter(r, "primroseshift_elections_total", "Elections this host started.");
@@ -286,6 +288,13 @@
     f.set(f.configurationBytes, {}, static_cast<double>(items));
 }
 
+void Metrics::setCrashSuspects(std::uint64_t suspects, std::uint64_t quarantined)
+{
+    auto& f = *families_;
+    f.set(f.crashSuspects, { { "state", "suspect" } }, static_cast<double>(suspects));
+    f.set(f.crashSuspects, { { "state", "quarantined" } }, static_cast<double>(quarantined));
+}
+
 void Metrics::setStorageSound(bool isSound) { families_->set(families_->storageSound, {}, isSound ? 1 : 0); }
 
 void Metrics::setEntryHostsBehind(std::uint64_t entryHosts)
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -56,6 +56,8 @@
     void setInEffectRevision(Core::Revision);
     /// The bytes of the log in memory, of the last snapshot and of the configuration items.
     void setLogBytes(std::uint64_t log, std::uint64_t snapshot, std::uint64_t items);
+    /// The requests that are being verified and those that are refused because they crash servers.
+    void setCrashSuspects(std::uint64_t suspects, std::uint64_t quarantined);
     void setStorageSound(bool);
     void setRaft(std::uint64_t term, std::uint64_t commitIndex, bool isLeader, bool hasQuorum);
     /// The entry hosts that lack a change of the configuration, as the control leader knows.
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -440,26 +440,112 @@
     BOOST_TEST(most <= 20);
 }
 
-BOOST_AUTO_TEST_CASE(ARequestIsQuarantinedOnceItCrashedThreeServers)
+/// Reports that requests were in progress at the server as its connections ended.
+void suspect(Leader& leader, ServerRecord const& server, std::vector<std::string> const& fingerprints)
+{
+    auto const number = leader.state().findServer(server.name)->number;
+    LoadReport report;
+    for (auto const& fingerprint : fingerprints)
+        report.suspicions.push_back({ fingerprint, number });
+    leader.coordinator().onLoadReport(leader.now(), report);
+}
+
+void reportHarmless(Leader& leader, std::string const& fingerprint)
+{
+    LoadReport report;
+    report.harmless.push_back(fingerprint);
+    leader.coordinator().onLoadReport(leader.now(), report);
+}
+
+std::vector<std::string> quarantined(Leader& leader) { return leader.coordinator().crashSuspects().quarantined(); }
+
+/// Four servers that have registered.
+std::vector<Server> startServers(Leader& leader)
 {
-    Leader leader;
     std::vector<Server> servers;
     for (int i = 1; i <= 4; ++i)
         servers.emplace_back(makeServer(i));
     for (auto& server : servers)
         sendHeartbeat(leader, server);
+    return servers;
+}
+
+/// The time from the third crash until the request is refused. The platform allows 3 s.
+constexpr Core::Duration maxQuarantineDelay = 1500ms;
+
+BOOST_AUTO_TEST_CASE(ARequestIsQuarantinedOnceItCrashedThreeServers)
+{
+    Leader leader;
+    auto const servers = startServers(leader);
     for (int i = 0; i < 3; ++i) {
-        auto const* const server = leader.state().findServer(servers[static_cast<std::size_t>(i)].record.name);
-        LoadReport report;
-        report.suspicions.push_back({ "poison", server->number });
-        report.suspicions.push_back({ "bystander-" + std::to_string(i), server->number });
-        leader.coordinator().onLoadReport(leader.now(), report);
-        BOOST_TEST(leader.coordinator().quarantined(leader.now()).empty());
+        suspect(leader, servers[static_cast<std::size_t>(i)].record, { "poison", "bystander-" + std::to_string(i) });
+        BOOST_TEST(quarantined(leader).empty());
+        Server restarted(makeServer(i + 1, 9000));
+        sendHeartbeat(leader, restarted);
+    }
+    leader.advance(maxQuarantineDelay);
+    BOOST_TEST(quarantined(leader) == std::vector<std::string> { "poison" }, boost::test_tools::per_element());
+}
+
+// Guards against a request that crashes one server after the other for as long as crashed servers take to come back.
+BOOST_AUTO_TEST_CASE(ACrashCountsBeforeTheServerIsBack)
+{
+    Leader leader;
+    auto const servers = startServers(leader);
+    leader.advance(1000ms);
+    for (int i = 0; i < 3; ++i) {
+        auto const& record = servers[static_cast<std::size_t>(i)].record;
+        suspect(leader, record, { "poison" });
+        LoadReport refusals;
+        refusals.contacts.push_back({ leader.state().findServer(record.name)->number, 0, 3 });
+        leader.coordinator().onLoadReport(leader.now(), refusals);
+    }
+    leader.advance(maxQuarantineDelay + 1000ms);
+    BOOST_TEST(quarantined(leader) == std::vector<std::string> { "poison" }, boost::test_tools::per_element());
+}
+
+// Guards against the refusal of a common request that was in progress at all servers of a failure domain as they ended.
+BOOST_AUTO_TEST_CASE(ARequestThatServersAnswerIsNotQuarantined)
+{
+    Leader leader;
+    auto const servers = startServers(leader);
+    for (int i = 0; i < 3; ++i)
+        suspect(leader, servers[static_cast<std::size_t>(i)].record, { "common", "poison" });
+    for (int i = 0; i < 3; ++i) {
+        Server restarted(makeServer(i + 1, 9000));
+        sendHeartbeat(leader, restarted);
+    }
+    leader.advance(100ms);
+    // Entry hosts are asked for both, and one of them has an answer to the common one.
+    BOOST_TEST(leader.coordinator().crashSuspects().suspects().size() == 2U);
+    reportHarmless(leader, "common");
+    leader.advance(maxQuarantineDelay);
+    BOOST_TEST(quarantined(leader) == std::vector<std::string> { "poison" }, boost::test_tools::per_element());
+    // An entry host that had been cut off reports late.
+    reportHarmless(leader, "poison");
+    BOOST_TEST(quarantined(leader).empty());
+}
+
+// Guards against the refusal of requests that were in progress at servers which had said that they end.
+BOOST_AUTO_TEST_CASE(APlannedEndIsNoCrash)
+{
+    Leader leader;
+    auto servers = startServers(leader);
+    LoadReport leaving;
+    leaving.leaving.push_back(leader.state().findServer(servers[0].record.name)->number);
+    leader.coordinator().onLoadReport(leader.now(), leaving);
+    servers[1].isDraining = true;
+    sendHeartbeat(leader, servers[1]);
+    for (int i = 0; i < 3; ++i)
+        suspect(leader, servers[static_cast<std::size_t>(i)].record, { "common" });
+    leader.commit(*leader.coordinator().leave(servers[2].record.name));
+    for (int i = 0; i < 2; ++i) {
         Server restarted(makeServer(i + 1, 9000));
         sendHeartbeat(leader, restarted);
     }
-    BOOST_TEST(leader.coordinator().quarantined(leader.now()) == std::vector<std::string> { "poison" },
-        boost::test_tools::per_element());
+    leader.advance(maxQuarantineDelay);
+    BOOST_TEST(quarantined(leader).empty());
+    BOOST_TEST(leader.coordinator().crashSuspects().suspects().empty());
 }
 
 BOOST_AUTO_TEST_CASE(ASlowServerGetsFewerKeys)
--- a/Tests/LibFleet/TestUnreadableMessages.cpp
+++ b/Tests/LibFleet/TestUnreadableMessages.cpp
@@ -23,6 +23,7 @@
     update.ranges.rows.push_back({ lettersPool, 0, keyCount - 1, 1, 0 });
     update.occupancies.rows.push_back({ 1, 12, 380 });
     update.quarantined = std::vector<std::string> { "fingerprint" };
+    update.suspects = std::vector<std::string> { "other" };
     return update;
 }
 
@@ -33,6 +34,7 @@
     report.contacts.push_back({ 1, 2, 0 });
     report.latencies.push_back({ 1, 2, 250.0 });
     report.suspicions.push_back({ "fingerprint", 1 });
+    report.harmless.emplace_back("other");
     report.occupancies.push_back({ 1, 2, 24 });
     return report;
 }
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -442,6 +442,35 @@
     BOOST_TEST(a.requests().size() == 2);
 }
 
+// Guards against the refusal of a request that crashed no server: this host has seen a server answer it, before it was
+// suspected or after.
+BOOST_AUTO_TEST_CASE(AnAnswerToASuspectedRequestIsReported)
+{
+    configure();
+    ask(request("/safe/before", "1"));
+    a.setScript([](auto const&) { return FakeServer::Reaction { {}, Then::Reset }; });
+    ask(request("/unsafe/x", "2", "poison"));
+    ask(request("/unsafe/x", "3", "later"));
+    ask(request("/safe/before", "4"));
+    auto const lost = gateway.takeReport();
+    BOOST_TEST(lost.harmless.empty());
+    BOOST_REQUIRE(lost.suspicions.size() >= 3U);
+    Fleet::ViewUpdate update;
+    update.suspects.emplace();
+    for (auto const& suspicion : lost.suspicions)
+        update.suspects->push_back(suspicion.fingerprint);
+    gateway.apply(update);
+    auto const before = gateway.takeReport();
+    BOOST_TEST(before.harmless == std::vector<std::string> { lost.suspicions.back().fingerprint },
+        boost::test_tools::per_element());
+    a.setScript([](auto const& request) { return FakeServer::Reaction { answerTo(request, "200 OK", "from-a") }; });
+    BOOST_TEST(ask(request("/unsafe/x", "5", "later"))->status() == "200");
+    auto const after = gateway.takeReport();
+    BOOST_TEST(after.harmless == std::vector<std::string> { lost.suspicions.at(1).fingerprint },
+        boost::test_tools::per_element());
+    BOOST_TEST(gateway.takeReport().harmless.empty());
+}
+
 BOOST_AUTO_TEST_CASE(ADrainingHostAnswersAndClosesItsConnections)
 {
     configure();
--- a/Tests/LibGateway/TestLeaderConnection.cpp
+++ b/Tests/LibGateway/TestLeaderConnection.cpp
@@ -19,6 +19,7 @@
         routes = update.routes.size();
     }
     std::uint64_t itemRevision() const override { return revision; }
+    std::vector<std::string> quarantined() const override { return { "poison" }; }
 
     std::uint64_t revision { 0 };
     std::size_t routes { 0 };
@@ -51,6 +52,8 @@
     BOOST_TEST(runUntil(
         loop, [&] { return connection.isConnected(); }, 3s));
     BOOST_TEST(leader.hellos.front().itemRevision == 5U);
+    BOOST_TEST(
+        leader.hellos.front().quarantined == std::vector<std::string> { "poison" }, boost::test_tools::per_element());
     BOOST_TEST(receiver.revision == 7U);
 }
 
--- a/Tests/Processes/trial.py
+++ b/Tests/Processes/trial.py
@@ -32,6 +32,8 @@
     """Subclasses set `server_type`, and implement `play` and `check`. The latter returns what was broken."""
 
     server_type = None
+    # The number of servers of each pool.
+    server_count = SERVERS
 
     def __init__(self, daemon, record, seed, entry_hosts):
         self.random = random.Random(seed)
@@ -63,7 +65,7 @@
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576, "HeaderTimeoutS": 3, "IdleTimeoutS": 15}})
         for pool in POOLS:
             self.servers[pool] = [self.server_type(self.site, pool, self.site.zones[i % 3], is_sharded=pool == "keyed")
-                                  for i in range(SERVERS)]
+                                  for i in range(self.server_count)]
             for server in self.servers[pool]:
                 await server.start()
         await self.site.wait_ready()
