--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -65,22 +65,34 @@
 
 void ControlHost::heartbeat(Fleet::Heartbeat beat, std::function<void(HeartbeatResult)> callback)
 {
-    auto const receivedAt = Core::BootClock::now();
+    admitHeartbeat(std::move(beat), Core::BootClock::now(), std::move(callback));
+}
+
+void ControlHost::admitHeartbeat(
+    Fleet::Heartbeat beat, Core::TimePoint receivedAt, std::function<void(HeartbeatResult)> callback)
+{
     if (!coordinator_ || !replica_.hasAuthority()) {
         callback(SubmitError(NotLeading {}));
         return;
     }
-    auto const admission = coordinator_->admit(beat);
-    if (!admission) {
+    auto const admission = coordinator_->admit(loop_.now(), beat);
+    if (admission.ignored)
+        metrics_.countIgnoredHeartbeat(Fleet::describe(*admission.ignored));
+    if (!admission.command) {
         answerHeartbeat(beat, receivedAt, callback);
         return;
     }
-    replica_.submit(*admission,
+    if (admission.isReturn)
+        events_.write(EventId::BackendReturned,
+            { { "server", beat.server.name.value }, { "pool", beat.server.pool.value },
+                { "address", beat.server.address.toString() } });
+    replica_.submit(*admission.command,
         [this, beat = std::move(beat), receivedAt, callback = std::move(callback)](SubmitResult const& result) {
             if (result.isError())
                 callback(result.error());
             else
-                answerHeartbeat(beat, receivedAt, callback);
+                // Another heartbeat of the server may have registered it meanwhile, as one that does not drain.
+                admitHeartbeat(beat, receivedAt, callback);
         });
 }
 
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -85,6 +85,8 @@
     bool fits(Fleet::State const&, Fleet::ItemChange const&) const;
     void commitItems(Fleet::ItemChange, std::function<void(ChangeResult)>);
     void commit(Fleet::Command const&, std::function<void(ChangeResult)>);
+    /// Commits what the heartbeat leads to, and answers it.
+    void admitHeartbeat(Fleet::Heartbeat, Core::TimePoint receivedAt, std::function<void(HeartbeatResult)> callback);
     void answerHeartbeat(
         Fleet::Heartbeat const&, Core::TimePoint receivedAt, std::function<void(HeartbeatResult)> const&);
     void submitDecisions();
--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -53,6 +53,7 @@
     , startedAt_(now)
     , quotas_(settings.quotas, now)
     , lastBalance_(now)
+    , returning_(settings.heartbeatInterval)
 {
     for (auto const& [number, server] : state_.servers()) {
         if (server.isDraining)
@@ -125,26 +126,45 @@
     return nextHeartbeat(state.target, now + releaseTime) - now <= maxHandoverGap;
 }
 
-std::optional<Command> Coordinator::admit(Heartbeat const& heartbeat) const
+std::string_view describe(IgnoredHeartbeat reason)
 {
-    auto const* const known = state_.findServer(heartbeat.server.name);
-    Command command;
-    if (known && heartbeat.server.bornMs <= known->bornMs) {
-        if (isStale(*known, heartbeat) || known->isDraining || !heartbeat.isDraining)
-            return std::nullopt;
+    switch (reason) {
+    case IgnoredHeartbeat::Stale:
+        return "stale";
+    case IgnoredHeartbeat::Removed:
+        return "removed";
+    case IgnoredHeartbeat::Superseded:
+        return "superseded";
+    }
+    return "";
+}
+
+Admission Coordinator::admit(Core::TimePoint now, Heartbeat const& heartbeat)
+{
+    auto const& name = heartbeat.server.name;
+    auto const bornMs = heartbeat.server.bornMs;
+    auto const* const known = state_.findServer(name);
+    if (known && bornMs <= known->bornMs) {
+        if (isStale(*known, heartbeat))
+            return { std::nullopt, false, IgnoredHeartbeat::Stale };
+        if (known->isDraining || !heartbeat.isDraining)
+            return {};
+        Command command;
         command.servers.draining.push_back(known->number);
-        return command;
+        return { std::move(command), false, std::nullopt };
     }
-    if (state_.hasDeparted(heartbeat.server.name, heartbeat.server.bornMs))
-        return std::nullopt;
     auto const isSuperseded = std::ranges::any_of(state_.servers(), [&](auto const& entry) {
         return entry.second.address == heartbeat.server.address && entry.second.bornMs >= heartbeat.server.bornMs;
     });
-    if (isSuperseded)
-        return std::nullopt;
+    if (isSuperseded || state_.isSuperseded(name, bornMs))
+        return { std::nullopt, false, IgnoredHeartbeat::Superseded };
+    auto const isReturn = state_.hasDeparted(name, bornMs);
+    if (isReturn && !returning_.onHeartbeat(heartbeat, now))
+        return { std::nullopt, false, IgnoredHeartbeat::Removed };
+    Command command;
     command.servers.joined.push_back(heartbeat.server);
     command.servers.joined.back().isDraining = heartbeat.isDraining;
-    return command;
+    return { std::move(command), isReturn, std::nullopt };
 }
 
 std::optional<Command> Coordinator::leave(Core::ServerName const& name) const
@@ -163,6 +183,7 @@
     if (!known || known->bornMs != heartbeat.server.bornMs || isStale(*known, heartbeat))
         return std::nullopt;
     auto& server = servers_[known->number];
+    server.bornMs = known->bornMs;
     server.lastSequence = heartbeat.sequence;
     server.lastHeartbeat = now;
     server.hasHeartbeat = true;
@@ -273,14 +294,11 @@
 {
     noteEnds(now, command, applied);
     for (auto const number : applied.joined) {
-        auto const* const server = state_.findServer(number);
-        if (server)
-            joins_.try_emplace(server->pool, PoolJoins { now, now }).first->second.latest = now;
-    }
-    for (auto const number : applied.removedServers) {
-        occupancies_.remove(number);
-        limits_.remove(number);
+        if (auto const* const server = state_.findServer(number))
+            noteJoin(now, *server);
     }
+    for (std::size_t i = 0; i < applied.removedServers.size(); ++i)
+        noteRemoval(now, applied.removedServers[i], applied.removedNames[i]);
     if (!applied.removedServers.empty()) {
         for (auto& [pool, states] : ranges_) {
             for (auto const& range : state_.keyRanges(pool))
@@ -325,6 +343,28 @@
     }
 }
 
+void Coordinator::noteJoin(Core::TimePoint now, ServerRecord const& server)
+{
+    joins_.try_emplace(server.pool, PoolJoins { now, now }).first->second.latest = now;
+    // Heartbeats from before a return are as old as they were.
+    if (auto const sequence = returning_.takeReturned(server.name, server.bornMs))
+        servers_[server.number].lastSequence = sequence;
+}
+
+void Coordinator::noteRemoval(Core::TimePoint now, ServerNumber number, Core::ServerName const& name)
+{
+    occupancies_.remove(number);
+    limits_.remove(number);
+    auto const found = servers_.find(number);
+    if (found == servers_.end() || !found->second.hasHeartbeat)
+        return;
+    auto const& server = found->second;
+    if (now - server.lastHeartbeat > serverExpiry)
+        returning_.onExpired(name, server.bornMs, server.lastSequence);
+    else
+        returning_.onLeft(name, server.bornMs, server.lastSequence);
+}
+
 void Coordinator::noteEnds(Core::TimePoint now, Command const& command, ApplyResult const& applied)
 {
     for (auto const number : applied.changedServers)
@@ -439,6 +479,7 @@
             crashSuspects_.onCrash(number, now);
     }
     crashSuspects_.tick(now);
+    returning_.tick(now);
     plan(now);
     auto const isDue = now - lastBalance_ >= balanceInterval;
     if (!isDue && !std::exchange(wasSplit_, false))
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -6,6 +6,7 @@
 #include <LibFleet/OverloadShares.h>
 #include <LibFleet/RangePlacement.h>
 #include <LibFleet/Reservation.h>
+#include <LibFleet/ReturningServers.h>
 #include <LibFleet/State.h>
 #include <LibFleet/WorkspaceQuotas.h>
 
@@ -130,6 +131,27 @@
     double admittedFraction { 1 };
 };
 
+/// Why a heartbeat is acknowledged and has no effect.
+enum class IgnoredHeartbeat : std::uint8_t {
+    /// A newer one of the same incarnation, or one of a newer incarnation, was received before.
+    Stale,
+    /// Its incarnation was removed and is not known to run.
+    Removed,
+    /// Its process is known to have ended, or another one uses its address.
+    Superseded,
+};
+std::string_view describe(IgnoredHeartbeat);
+
+/// What a heartbeat leads to before it is answered.
+struct Admission {
+    /// The command that must be committed before the heartbeat may be acknowledged, if any.
+    std::optional<Command> command;
+    /// Whether the command registers an incarnation again that had been removed.
+    bool isReturn { false };
+    /// Why the heartbeat has no effect, if it has none.
+    std::optional<IgnoredHeartbeat> ignored;
+};
+
 /// Decides for the control leader about backend servers and the keys that they own. A new instance is created for each
 /// leadership term. It is deterministic and uses no clocks or sockets.
 ///
@@ -140,8 +162,7 @@
 public:
     Coordinator(State const&, CoordinatorSettings const&, Core::TimePoint now);
 
-    /// Returns the command that must be committed before the heartbeat may be acknowledged, if any.
-    std::optional<Command> admit(Heartbeat const&) const;
+    Admission admit(Core::TimePoint now, Heartbeat const&);
     /// Returns the grant that answers a heartbeat, once the command from `admit`, if any, is committed. Empty if no
     /// lease is renewed.
     std::optional<Grant> answer(Core::TimePoint receivedAt, Core::TimePoint now, Heartbeat const&);
@@ -175,6 +196,8 @@
 
 private:
     struct ServerState {
+        /// The incarnation, once it has sent a heartbeat to this leader.
+        std::int64_t bornMs { 0 };
         std::uint64_t lastSequence { 0 };
         Core::TimePoint lastHeartbeat;
         Core::TimePoint coldUntil;
@@ -276,6 +299,8 @@
     void updateLoads();
     /// Tells crashes from planned ends among the servers that a command changed.
     void noteEnds(Core::TimePoint now, Command const&, ApplyResult const&);
+    void noteRemoval(Core::TimePoint now, ServerNumber, Core::ServerName const&);
+    void noteJoin(Core::TimePoint now, ServerRecord const&);
 
     /// The interval at which loads are updated and ranges are rebalanced, the same as that of the reports of entry
     /// hosts.
@@ -306,6 +331,7 @@
     bool wasSplit_ { false };
     bool haveOccupanciesAdvanced_ { false };
     CrashSuspects crashSuspects_;
+    ReturningServers returning_;
 };
 
 } // namespace Fleet
--- a/Libraries/LibFleet/Model.h
+++ b/Libraries/LibFleet/Model.h
@@ -225,8 +225,11 @@
 struct Departed {
     Core::ServerName name;
     std::int64_t bornMs { 0 };
+    /// Whether a newer incarnation, or another server at its address, proves that its process has ended.
+    bool isSuperseded { false };
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Departed, name, bornMs)
+// Snapshots of earlier software versions lack the last of these.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Departed, name, bornMs, isSuperseded)
 
 /// Encodes a value as CBOR.
 template <typename T> std::string encode(T const& value)
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -342,7 +342,7 @@
         applied.changedServers.push_back(number);
     }
     for (auto const number : change.removed)
-        remove(number, applied);
+        remove(number, false, applied);
 }
 
 void State::join(ServerRecord record, ApplyResult& applied)
@@ -358,7 +358,7 @@
     }
     for (auto const number : ended) {
         clearOwner(number);
-        remove(number, applied);
+        remove(number, true, applied);
     }
     record.number = nextServer_++;
     applied.joined.push_back(record.number);
@@ -366,12 +366,12 @@
     servers_.emplace(record.number, std::move(record));
 }
 
-void State::remove(ServerNumber number, ApplyResult& applied)
+void State::remove(ServerNumber number, bool isSuperseded, ApplyResult& applied)
 {
     auto const found = servers_.find(number);
     if (found == servers_.end())
         return;
-    departed_.push_back({ found->second.name, found->second.bornMs });
+    departed_.push_back({ found->second.name, found->second.bornMs, isSuperseded });
     if (departed_.size() > maxDeparted)
         departed_.erase(departed_.begin());
     applied.removedNames.push_back(found->second.name);
@@ -421,6 +421,12 @@
     return std::ranges::any_of(departed_, [&](auto const& life) { return life.name == name && life.bornMs >= bornMs; });
 }
 
+bool State::isSuperseded(Core::ServerName const& name, std::int64_t bornMs) const
+{
+    return std::ranges::any_of(
+        departed_, [&](auto const& life) { return life.name == name && life.bornMs >= bornMs && life.isSuperseded; });
+}
+
 PoolItem const* State::findPool(Core::PoolName const& name) const
 {
     auto const found = pools_.find(name.value);
--- a/Libraries/LibFleet/State.h
+++ b/Libraries/LibFleet/State.h
@@ -72,7 +72,10 @@
     std::map<ServerNumber, ServerRecord> const& servers() const { return servers_; }
     ServerRecord const* findServer(ServerNumber) const;
     ServerRecord const* findServer(Core::ServerName const&) const;
+    /// Whether this incarnation of the server, or a later one, was removed.
     bool hasDeparted(Core::ServerName const&, std::int64_t bornMs) const;
+    /// Whether the process of this incarnation, or of a later one that was removed, is known to have ended.
+    bool isSuperseded(Core::ServerName const&, std::int64_t bornMs) const;
     PoolItem const* findPool(Core::PoolName const&) const;
     /// Returns the ranges of a pool, which cover all keys without gaps. Empty if its keys were never assigned.
     std::span<KeyRange const> keyRanges(Core::PoolName const&) const;
@@ -87,7 +90,7 @@
     void apply(ServerChange const&, ApplyResult&);
     void apply(Assignment const&);
     void join(ServerRecord, ApplyResult&);
-    void remove(ServerNumber, ApplyResult&);
+    void remove(ServerNumber, bool isSuperseded, ApplyResult&);
     void clearOwner(ServerNumber);
 
     friend void to_json(nlohmann::json&, State const&);
--- a/Libraries/LibTelemetry/Event.cpp
+++ b/Libraries/LibTelemetry/Event.cpp
@@ -59,6 +59,7 @@
         PRIMROSESHIFT_EVENT(RequestLimitStated, Warning, "A backend server names the requests per second that it takes, or has changed the number.", "Look at the server; its keys move to others meanwhile."),
         PRIMROSESHIFT_EVENT(RequestLimitEnded, Info, "A backend server no longer names a request limit.", "None."),
         PRIMROSESHIFT_EVENT(EntryHostBehind, Warning, "An entry host lacks a change of the configuration that was made some time ago.", "Look at the host and its link; unsent bytes point at the link."),
+        PRIMROSESHIFT_EVENT(BackendReturned, Warning, "A backend server that was removed has gone on sending heartbeats, and is used again.", "Find out who said that it leaves, or why its heartbeats ceased."),
         PRIMROSESHIFT_EVENT(ViewApplied, Debug, "The entry host applied a new view.", "None."),
         PRIMROSESHIFT_EVENT(ViewLeaseLost, Error, "The entry host has no view lease and rejects new work as not run.", "Check the control hosts and the network to them."),
         PRIMROSESHIFT_EVENT(ViewLeaseRestored, Info, "The entry host has a view lease again.", "None."),
--- a/Libraries/LibTelemetry/Event.h
+++ b/Libraries/LibTelemetry/Event.h
@@ -58,6 +58,7 @@
     RequestLimitStated = 318,
     RequestLimitEnded = 319,
     EntryHostBehind = 320,
+    BackendReturned = 321,
     // Entry host: 400 to 499.
     ViewApplied = 400,
     ViewLeaseLost = 401,
--- a/Libraries/LibTelemetry/Metrics.cpp
+++ b/Libraries/LibTelemetry/Metrics.cpp
@@ -117,6 +117,8 @@
     Family<Counter>& hedges = counter(r, "primroseshift_hedges_total", "Hedged attempts, by whether they won.");
     Family<Counter>& ejections = counter(r, "primroseshift_ejections_total", "Ejections by backend server.");
     Family<Gauge>& ejected = gauge(r, "primroseshift_ejected_servers", "Backend servers ejected at present.");
+    Family<Counter>& ignoredHeartbeats = counter(r, "primroseshift_ignored_heartbeats_total",
+        "Heartbeats of backend servers that were acknowledged and have no effect, by reason.");
     Family<Counter>& quarantines = counter(r, "primroseshift_quarantines_total", "Requests quarantined, by route.");
     Family<Gauge>& ledgerEntries = gauge(r, "primroseshift_order_ledger_entries", "Entries of the order ledger.");
     Family<Gauge>& ledgerCapacity = gauge(r, "primroseshift_order_ledger_capacity", "Bound of the order ledger.");
@@ -375,6 +377,11 @@
     families_->add(families_->quarantines, { { "route", families_->routes.admit(route.value) } }, 1);
 }
 
+void Metrics::countIgnoredHeartbeat(std::string_view reason)
+{
+    families_->add(families_->ignoredHeartbeats, { { "reason", std::string(reason) } }, 1);
+}
+
 void Metrics::setOrderLedger(std::uint64_t entries, std::uint64_t capacity)
 {
     families_->set(families_->ledgerEntries, {}, static_cast<double>(entries));
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -82,6 +82,8 @@
     void countEjection(Core::PoolName const&, Core::ServerName const&);
     void setEjected(Core::PoolName const&, std::uint64_t servers);
     void countQuarantine(Core::RouteName const&);
+    /// A heartbeat was acknowledged and has no effect.
+    void countIgnoredHeartbeat(std::string_view reason);
     void setOrderLedger(std::uint64_t entries, std::uint64_t capacity);
 
     void setCallerConnections(std::uint64_t);
--- a/Tests/LibControlHost/TestControlHost.cpp
+++ b/Tests/LibControlHost/TestControlHost.cpp
@@ -282,6 +282,36 @@
     BOOST_TEST(group.readVersion() == 5U);
 }
 
+// Guards against an acknowledgement after which a draining server still counts as ready.
+BOOST_AUTO_TEST_CASE(AHeartbeatThatDrainsTakesEffectThoughTheServerIsBeingRegistered)
+{
+    Group group;
+    startAll(group);
+    BOOST_REQUIRE(group.send(Group::changeOf(5)).has_value());
+    Fleet::Heartbeat heartbeat;
+    heartbeat.server.name = { "server" };
+    heartbeat.server.address = { "127.0.0.1", 80 };
+    heartbeat.server.pool = { "pool" };
+    heartbeat.server.bornMs = 1000;
+    auto* const leader = group.leader();
+    auto isAcknowledged = false;
+    auto isDraining = false;
+    for (auto const draining : { false, true }) {
+        ++heartbeat.sequence;
+        heartbeat.isDraining = draining;
+        leader->heartbeat(heartbeat, [&, draining](auto const& answer) {
+            if (!draining)
+                return;
+            isAcknowledged = !answer.isError();
+            leader->read([&](auto const& state) {
+                auto const* const server = state.isError() ? nullptr : state.value()->findServer({ "server" });
+                isDraining = server && server->isDraining;
+            });
+        });
+    }
+    BOOST_TEST(group.runUntil([&] { return isAcknowledged && isDraining; }, 5s));
+}
+
 BOOST_AUTO_TEST_CASE(AFounderThatLostItsDiskDoesNotBootstrapAnotherGroup)
 {
     Group group;
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -35,8 +35,8 @@
 
     std::optional<Grant> sendHeartbeat(Heartbeat const& heartbeat)
     {
-        if (auto const command = coordinator_->admit(heartbeat))
-            commit(*command);
+        if (auto const admission = coordinator_->admit(now_, heartbeat); admission.command)
+            commit(*admission.command);
         auto grant = coordinator_->answer(now_, now_, heartbeat);
         commitDecisions();
         return grant;
@@ -548,6 +548,134 @@
     BOOST_TEST(leader.coordinator().crashSuspects().suspects().empty());
 }
 
+namespace {
+
+/// A new incarnation under the name that the server had.
+Server startAgain(Server const& server)
+{
+    Server again(server.record);
+    again.record.bornMs += 1000;
+    return again;
+}
+
+bool isRegistered(Leader& leader, Server const& server)
+{
+    auto const* const known = leader.state().findServer(server.record.name);
+    return known && known->bornMs == server.record.bornMs;
+}
+
+void leave(Leader& leader, Server const& server) { leader.commit(*leader.coordinator().leave(server.record.name)); }
+
+} // namespace
+
+// Guards against a server that never gets a request since its earlier incarnation was said to leave too late.
+BOOST_AUTO_TEST_CASE(ALateDepartureOfAnEarlierIncarnationDoesNotBanTheServer)
+{
+    Leader leader;
+    Server earlier(makeServer(1));
+    Server other(makeServer(2));
+    run(leader, { &earlier, &other }, 4);
+    auto server = startAgain(earlier);
+    run(leader, { &server, &other }, 2);
+    leave(leader, server);
+    BOOST_TEST(!isRegistered(leader, server));
+    run(leader, { &server, &other }, 6);
+    BOOST_TEST(isRegistered(leader, server));
+    run(leader, { &server, &other }, 10);
+    BOOST_TEST(heldKeyCount(server) > 0U);
+    BOOST_TEST(heldKeyCount(server) + heldKeyCount(other) == keyCount);
+}
+
+BOOST_AUTO_TEST_CASE(DelayedHeartbeatsDoNotRegisterAServerThatHasLeft)
+{
+    Leader leader;
+    Server server(makeServer(1));
+    run(leader, { &server }, 4);
+    std::vector<Heartbeat> delayed;
+    std::generate_n(std::back_inserter(delayed), 4, [&] { return server.makeHeartbeat(); });
+    leave(leader, server);
+    leader.advance(3s);
+    leader.sendHeartbeat(delayed.front());
+    BOOST_TEST(!isRegistered(leader, server));
+    // A partition has ended: its kernel sends the others at once.
+    for (auto const& heartbeat : delayed)
+        leader.sendHeartbeat(heartbeat);
+    BOOST_TEST(!isRegistered(leader, server));
+    // The same ones may arrive over and over.
+    for (int i = 0; i < 10; ++i) {
+        leader.advance(1s);
+        leader.sendHeartbeat(delayed.back());
+    }
+    BOOST_TEST(!isRegistered(leader, server));
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingServerThatHasLeftDoesNotReturn)
+{
+    Leader leader;
+    Server server(makeServer(1));
+    run(leader, { &server }, 4);
+    server.isDraining = true;
+    run(leader, { &server }, 2);
+    leave(leader, server);
+    run(leader, { &server }, 10);
+    BOOST_TEST(!isRegistered(leader, server));
+}
+
+// Guards against a server that never gets a request again since it was silent for long.
+BOOST_AUTO_TEST_CASE(AServerWhoseHeartbeatsHadCeasedReturns)
+{
+    Leader leader;
+    Server server(makeServer(1));
+    run(leader, { &server }, 4);
+    leader.advance(26s);
+    BOOST_TEST(!isRegistered(leader, server));
+    sendHeartbeat(leader, server);
+    BOOST_TEST(!isRegistered(leader, server));
+    run(leader, { &server }, 2);
+    BOOST_TEST(isRegistered(leader, server));
+}
+
+BOOST_AUTO_TEST_CASE(ANewLeaderLetsARemovedServerReturn)
+{
+    Leader leader;
+    Server server(makeServer(1));
+    run(leader, { &server }, 4);
+    leave(leader, server);
+    run(leader, { &server }, 2);
+    leader.restart();
+    run(leader, { &server }, 6);
+    BOOST_TEST(isRegistered(leader, server));
+}
+
+// A heartbeat from before the return is as old as it was.
+BOOST_AUTO_TEST_CASE(AReturnedServerIgnoresItsOldHeartbeats)
+{
+    Leader leader;
+    Server server(makeServer(1));
+    run(leader, { &server }, 4);
+    leave(leader, server);
+    auto old = server.makeHeartbeat();
+    old.isDraining = true;
+    run(leader, { &server }, 5);
+    BOOST_REQUIRE(isRegistered(leader, server));
+    leader.sendHeartbeat(old);
+    BOOST_TEST(!leader.state().findServer(server.record.name)->isDraining);
+}
+
+BOOST_AUTO_TEST_CASE(AnIncarnationThatANewerOneReplacedNeverReturns)
+{
+    Leader leader;
+    Server earlier(makeServer(1));
+    run(leader, { &earlier }, 2);
+    auto server = startAgain(earlier);
+    run(leader, { &server }, 2);
+    leave(leader, server);
+    run(leader, { &earlier }, 10);
+    BOOST_TEST(!isRegistered(leader, earlier));
+    BOOST_TEST(
+        (leader.coordinator().admit(leader.now(), earlier.makeHeartbeat()).ignored == IgnoredHeartbeat::Superseded));
+}
+
 BOOST_AUTO_TEST_CASE(ASlowServerGetsFewerKeys)
 {
     // Three servers start with equal numbers of keys; one of them takes twice as long. Service times vary by a range as
--- a/Tests/LibFleet/TestFirstAssignment.cpp
+++ b/Tests/LibFleet/TestFirstAssignment.cpp
@@ -72,8 +72,8 @@
         heartbeat.server = server.record;
         heartbeat.sequence = ++server.sequence;
         heartbeat.holds = server.holds;
-        if (auto const command = coordinator_->admit(heartbeat))
-            commit(*command);
+        if (auto const admission = coordinator_->admit(now_, heartbeat); admission.command)
+            commit(*admission.command);
         auto const grant = coordinator_->answer(now_, now_, heartbeat);
         server.holds.clear();
         if (grant) {
--- a/Tests/LibFleet/TestOwnershipSeeds.cpp
+++ b/Tests/LibFleet/TestOwnershipSeeds.cpp
@@ -130,8 +130,8 @@
         if (server.isPartitioned || !coordinator_ || withProbability(0.05))
             return;
         auto const sentAt = now_;
-        if (auto const command = coordinator_->admit(heartbeat))
-            commit(*command);
+        if (auto const admission = coordinator_->admit(now_, heartbeat); admission.command)
+            commit(*admission.command);
         auto const grant = coordinator_->answer(now_, now_, heartbeat);
         commitDecisions();
         // The answer is lost, delayed, or delivered immediately.
--- a/Tests/LibFleet/TestState.cpp
+++ b/Tests/LibFleet/TestState.cpp
@@ -407,6 +407,27 @@
     BOOST_TEST(state.keyRanges(lettersPool).front().owner == 1);
 }
 
+BOOST_AUTO_TEST_CASE(AReplacedIncarnationIsKnownToHaveEnded)
+{
+    State state;
+    state.apply(configure());
+    auto earlier = makeServer(1, 1000);
+    auto later = earlier;
+    later.bornMs = 2000;
+    state.apply(join(earlier));
+    state.apply(join(later));
+    BOOST_TEST(state.isSuperseded(earlier.name, earlier.bornMs));
+    Command leave;
+    leave.servers.removed.push_back(2);
+    state.apply(leave);
+    BOOST_TEST(state.hasDeparted(later.name, later.bornMs));
+    BOOST_TEST(!state.isSuperseded(later.name, later.bornMs));
+    State restored;
+    BOOST_REQUIRE(restored.restore(state.snapshot()));
+    BOOST_TEST(restored.isSuperseded(earlier.name, earlier.bornMs));
+    BOOST_TEST(!restored.isSuperseded(later.name, later.bornMs));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(KeyRanges)
--- a/Tests/LibTelemetry/TestMetrics.cpp
+++ b/Tests/LibTelemetry/TestMetrics.cpp
@@ -55,6 +55,9 @@
     metrics.countEjection(pool, { "s1" });
     metrics.setEjected(pool, 1);
     metrics.countQuarantine({ "status" });
+    metrics.countIgnoredHeartbeat("removed");
+    metrics.setCrashSuspects(1, 2);
+    metrics.setLogBytes(1, 2, 3);
     metrics.setOrderLedger(1, 2);
     metrics.setCallerConnections(1);
     metrics.setDroppedSpans(1);
