Soak: reload a process only once it has begun

The soak's reload sent SIGHUP to a process that had just been started, which ends it before its first instruction; no program survives that. The reload now waits until the process has begun, with the function of TestEarlySignals, which covers the time after it.

The gauge of crash suspects returns to zero on a host that no longer leads.

--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -521,7 +521,6 @@
         return;
     update_.quarantined = suspects.quarantined();
     update_.suspects = suspects.suspects();
-    metrics_.setCrashSuspects(update_.suspects->size(), update_.quarantined->size());
 }
 
 void ControlHost::publishRequestLimits()
@@ -601,6 +600,8 @@
     metrics_.setRaft(status.term.value, status.commitIndex.value, isLeader, status.leader.has_value());
     metrics_.setLogBytes(status.logBytes, status.snapshotBytes, replica_.state().itemBytes());
     metrics_.clearRequestLimits();
+    metrics_.setCrashSuspects(coordinator_ ? coordinator_->crashSuspects().suspects().size() : 0,
+        coordinator_ ? coordinator_->crashSuspects().quarantined().size() : 0);
     reportEntryHostsBehind();
     if (coordinator_) {
         for (auto const& row : coordinator_->allRequestLimits(loop_.now())) {
--- a/Tests/Processes/trial.py
+++ b/Tests/Processes/trial.py
@@ -28,6 +28,17 @@
     pass
 
 
+async def wait_for_main(pid):
+    """Waits until the program ignores SIGXFSZ, which is among the first things that it does."""
+    bit = 1 << (signal.SIGXFSZ - 1)
+    while True:
+        with open("/proc/%d/status" % pid) as file:
+            ignored = next(line for line in file if line.startswith("SigIgn:"))
+        if int(ignored.split()[1], 16) & bit:
+            return
+        await asyncio.sleep(0)
+
+
 class Trial:
     """Subclasses set `server_type`, and implement `play` and `check`. The latter returns what was broken."""
 
