Test: copy log entries in a way that the linter accepts

clang-tidy reported the local copy in CopiesOfAnEntryShareItsPayload. The test now copies the entry into a container, and compares each copy as before.

--- a/Tests/LibConsensus/TestLogBytes.cpp
+++ b/Tests/LibConsensus/TestLogBytes.cpp
@@ -115,10 +115,12 @@
 BOOST_AUTO_TEST_CASE(CopiesOfAnEntryShareItsPayload)
 {
     LogEntry const entry { { 1 }, { 1 }, Command { std::string(1000, 'p') } };
-    auto const copy = entry;
+    std::vector<LogEntry> const copies(2, entry);
     auto const bytesOf = [](LogEntry const& of) { return std::get<Command>(of.content).payload.view(); };
-    BOOST_TEST(static_cast<void const*>(bytesOf(copy).data()) == static_cast<void const*>(bytesOf(entry).data()));
-    BOOST_TEST((copy == entry));
+    for (auto const& copy : copies) {
+        BOOST_TEST(static_cast<void const*>(bytesOf(copy).data()) == static_cast<void const*>(bytesOf(entry).data()));
+        BOOST_TEST((copy == entry));
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
