A seed that is listed twice counts once

Cause: a founder whose seeds name an address twice writes the founders to its disk with a duplicate, and the decoder refuses duplicates, since one would count twice in a quorum. The founder cannot start, then or later. The test takes its five ports one after the other from the kernel, which may give the same one twice.

Change: the initial voters are made unique by name, and Test::freePort returns no port twice.

--- a/Libraries/LibConsensus/Configuration.cpp
+++ b/Libraries/LibConsensus/Configuration.cpp
@@ -98,6 +98,8 @@
 Configuration Configuration::ofVoters(std::vector<Member> voters)
 {
     std::ranges::sort(voters);
+    auto const duplicates = std::ranges::unique(voters, {}, &Member::name);
+    voters.erase(duplicates.begin(), duplicates.end());
     return { std::move(voters), {} };
 }
 
--- a/Libraries/LibConsensus/Configuration.h
+++ b/Libraries/LibConsensus/Configuration.h
@@ -69,6 +69,7 @@
     /// must check separately whether a learner has caught up.
     Core::Result<Configuration, ChangeRefusal> with(ConfigurationChange const&) const;
 
+    /// A name that is given more than once counts once.
     static Configuration ofVoters(std::vector<Member> voters);
 };
 
--- a/Tests/LibControlHost/TestControlHost.cpp
+++ b/Tests/LibControlHost/TestControlHost.cpp
@@ -1,4 +1,5 @@
 #include "../Support/Loopback.h"
+#include "../Support/TemporaryFolder.h"
 
 #include <LibControlHost/ControlHost.h>
 #include <LibStorage/RealDisk.h>
@@ -326,6 +327,22 @@
     BOOST_TEST(group.readVersion() == 3);
 }
 
+// Guards against a founder that writes voters to its disk which it then refuses to read.
+BOOST_AUTO_TEST_CASE(ASeedThatIsListedTwiceCountsOnce)
+{
+    TemporaryFolder const folder;
+    Storage::RealDisk disk(folder.file("data"));
+    Core::Endpoint const address { "127.0.0.1", 1 };
+    Core::Endpoint const other { "127.0.0.1", 2 };
+    auto const store = ControlHost::openOrBootstrap(disk, { address, { address, other, address }, true });
+    BOOST_REQUIRE(!store.isError());
+    BOOST_REQUIRE(store.value().opened.state.entries.size() == 1U);
+    auto const& entry = store.value().opened.state.entries.front();
+    auto const* const founders = std::get_if<Consensus::Configuration>(&entry.content);
+    BOOST_REQUIRE(founders);
+    BOOST_TEST(founders->voters.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(APlannedStopTransfersTheLeadership)
 {
     Group group;
--- a/Tests/Support/Loopback.h
+++ b/Tests/Support/Loopback.h
@@ -8,15 +8,17 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <set>
 
 /// What several test programs need to run hosts on the loopback interface and one event loop.
 namespace Test {
 
 using namespace std::chrono_literals;
 
-/// A port of the loopback interface that nothing listens on.
+/// A port of the loopback interface that nothing listens on. No port is returned twice.
 inline std::uint16_t freePort()
 {
+    static std::set<std::uint16_t> returned;
     auto const fd = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address {};
     address.sin_family = AF_INET;
@@ -26,7 +28,8 @@
         || ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length) != 0)
         std::abort();
     ::close(fd);
-    return ntohs(address.sin_port);
+    auto const port = ntohs(address.sin_port);
+    return returned.insert(port).second ? port : freePort();
 }
 
 /// Runs the loop for this long.
