Answers that wait for an earlier one are counted and bounded

Cause: an answer left the account of answers being read when it was complete, and entered that of unsent ones only when it was handed to the stream of its connection. Between the two, behind an earlier request, nothing counted it.

Change: HttpServer counts waiting answers as unsent. While they take a quarter of the memory limit, no request is read beside an earlier one of its connection. The gateway gives up a waiting answer of any size beyond half of the part for unsent answers (502, no-memory).

AnswersThatWaitForAnEarlierOneAreBoundedTogether fails without the change (0 bytes counted); the tests of HttpServer use its new account.

--- a/Libraries/LibGateway/ExchangeOutcomes.cpp
+++ b/Libraries/LibGateway/ExchangeOutcomes.cpp
@@ -152,7 +152,7 @@
 
 void Exchange::relay(Net::HttpAnswer answer)
 {
-    if (!gateway_.hasRoomForAnswer(answer.body.size())) {
+    if (!gateway_.hasRoomForAnswer(id_, answer.body.size())) {
         fail(statusBadGateway, "no-memory");
         return;
     }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -20,6 +20,9 @@
     constexpr std::uint64_t readAnswersDivisor = 4;
     /// Smaller answers are never given up for lack of memory.
     constexpr std::size_t minBoundedAnswerBytes = 64UL * 1024;
+    /// The part of the memory for unsent answers that those which wait for an earlier one may take, whatever their
+    /// size, is one divided by this. Many requests of one connection may be in progress, so small answers add up, too.
+    constexpr std::uint64_t waitingAnswersDivisor = 2;
     constexpr std::size_t maxSuspicions = 1000;
 
 } // namespace
@@ -149,9 +152,11 @@
     server_->closeAll();
 }
 
-bool Gateway::hasRoomForAnswer(std::size_t bytes)
+bool Gateway::hasRoomForAnswer(Net::ExchangeId id, std::size_t bytes)
 {
     auto const limit = settings_.memory.maxHeldBytes - settings_.memory.maxHeldBytes / readAnswersDivisor;
+    if (server_->mustWait(id) && server_->waitingAnswerBytes() + bytes > limit / waitingAnswersDivisor)
+        return false;
     return bytes < minBoundedAnswerBytes || server_->unsentAnswerBytes() + bytes <= limit;
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -80,7 +80,7 @@
     /// Closes all connections, and logs each unfinished request and each truncated answer.
     void closeAll();
     /// Whether an answer of this size may be held until its caller has taken it.
-    bool hasRoomForAnswer(std::size_t bytes);
+    bool hasRoomForAnswer(Net::ExchangeId, std::size_t bytes);
     /// Returns the load statistics and crash suspicions since the last report, and resets them.
     Fleet::LoadReport takeReport();
 
--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <numeric>
+#include <utility>
 
 namespace Net {
 
@@ -51,6 +53,14 @@
         return settings;
     }
 
+    /// The memory that an answer takes before it is handed to the stream.
+    std::size_t answerBytes(HttpResponse const& response)
+    {
+        return std::transform_reduce(response.fields.begin(), response.fields.end(),
+            sizeof response + response.reason.size() + response.body.size(), std::plus(),
+            [](auto const& field) { return sizeof field + field.name.size() + field.value.size(); });
+    }
+
     bool mayHaveBody(std::uint16_t status) { return status != statusNoContent && status != statusNotModified; }
 
     bool expectsContinue(Proxy::MessageHead const& head)
@@ -81,8 +91,10 @@
     isShutDown_ = true;
     server_.loop_.cancel(timer_);
     releaseBody();
-    for (auto const& exchange : exchanges_)
+    for (auto const& exchange : exchanges_) {
         server_.heldBodyBytes_ -= exchange.bodyBytes;
+        server_.waitingAnswerBytes_ -= exchange.waitingBytes;
+    }
     if (stream_.isOpen() && stream_.pendingBytes() > 0)
         server_.handler_.onAnswerCutOff({ id_, lastExchange_ }, stream_.pendingBytes());
     stream_.close();
@@ -122,10 +134,16 @@
         return;
     server_.heldBodyBytes_ -= std::exchange(exchange->bodyBytes, 0);
     exchange->response = std::move(response);
+    if (exchange != exchanges_.begin()) {
+        exchange->waitingBytes = answerBytes(*exchange->response);
+        server_.waitingAnswerBytes_ += exchange->waitingBytes;
+    }
     lastActive_ = server_.loop_.now();
     writeAnswers();
 }
 
+bool HttpConnection::mustWait(std::uint64_t id) const { return !exchanges_.empty() && exchanges_.front().id != id; }
+
 void HttpConnection::writeAnswers()
 {
     while (!exchanges_.empty() && exchanges_.front().response) {
@@ -199,8 +217,8 @@
 
 std::size_t HttpConnection::finishedBytes() const
 {
-    return std::accumulate(exchanges_.begin(), exchanges_.end(), stream_.pendingBytes(),
-        [](auto sum, auto const& exchange) { return sum + (exchange.response ? exchange.response->body.size() : 0); });
+    return std::transform_reduce(exchanges_.begin(), exchanges_.end(), stream_.pendingBytes(), std::plus(),
+        [](auto const& exchange) { return exchange.waitingBytes; });
 }
 
 bool HttpConnection::mayRead() const
@@ -210,7 +228,7 @@
     if (exchanges_.empty() || phase_ == Phase::Body)
         return true;
     return !server_.isDraining_ && !exchanges_.back().isExclusive && exchanges_.size() < maxExchanges
-        && finishedBytes() <= maxFinishedBytes;
+        && finishedBytes() <= maxFinishedBytes && server_.mayReadAhead();
 }
 
 void HttpConnection::readInput()
@@ -358,6 +376,7 @@
 
 void HttpConnection::write(Exchange& exchange, bool closes)
 {
+    server_.waitingAnswerBytes_ -= std::exchange(exchange.waitingBytes, 0);
     auto& response = *exchange.response;
     std::string text = "HTTP/1.1 ";
     text.append(std::to_string(response.status)).append(" ");
--- a/Libraries/LibNet/HttpConnection.h
+++ b/Libraries/LibNet/HttpConnection.h
@@ -32,6 +32,8 @@
     /// Answers the request that has not arrived whole, behind the earlier ones, and closes the connection then.
     void refuse(std::uint16_t status);
     void respond(std::uint64_t exchange, HttpResponse);
+    /// Whether an answer to this request would wait for that of an earlier one.
+    bool mustWait(std::uint64_t exchange) const;
 
 private:
     enum class Phase : std::uint8_t {
@@ -53,6 +55,8 @@
         bool closes { false };
         std::size_t bodyBytes { 0 };
         std::optional<HttpResponse> response;
+        /// The size of the answer while it waits for that of an earlier request.
+        std::size_t waitingBytes { 0 };
     };
 
     static void resumeReading(HttpServer&, std::uint64_t id);
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -15,6 +15,10 @@
     constexpr std::size_t smallRequestBytes = 64UL * 1024;
     constexpr std::size_t reserveDivisor = 8;
 
+    /// The part of the memory limit that waiting answers may take before no request is read ahead is one divided by
+    /// this.
+    constexpr std::uint64_t waitingAnswersDivisor = 4;
+
 } // namespace
 
 std::string_view reasonPhrase(std::uint16_t status)
@@ -125,9 +129,17 @@
         found->second->respond(id.exchange, std::move(response));
 }
 
+bool HttpServer::mustWait(ExchangeId id) const
+{
+    auto const found = connections_.find(id.connection);
+    return found != connections_.end() && found->second->mustWait(id.exchange);
+}
+
+bool HttpServer::mayReadAhead() const { return waitingAnswerBytes_ <= maxHeldBytes_ / waitingAnswersDivisor; }
+
 std::uint64_t HttpServer::unsentAnswerBytes()
 {
-    std::uint64_t bytes = 0;
+    auto bytes = waitingAnswerBytes_;
     std::erase_if(sending_, [&](auto const id) {
         auto const unsent = connections_.at(id)->unsentBytes();
         bytes += unsent;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -78,7 +78,8 @@
 
     void setLimits(HttpLimits const& limits) { limits_ = limits; }
     /// The memory for requests and answers, in bytes. Beyond it, large requests that are being read are refused, the
-    /// one without progress for longest first.
+    /// one without progress for longest first. While answers that wait for earlier ones take a quarter of it, no
+    /// request is read beside an earlier one of its connection.
     void setMemoryLimit(std::uint64_t bytes) { maxHeldBytes_ = bytes; }
     /// Beyond it, the connection that has been idle for longest is closed for each new one.
     void setMaxConnections(std::size_t connections) { maxConnections_ = connections; }
@@ -97,8 +98,12 @@
     std::size_t connectionCount() const { return connections_.size(); }
     /// Bytes of request bodies that are being read or answered.
     std::uint64_t heldBodyBytes() const { return heldBodyBytes_; }
-    /// Bytes of answers that the kernel has not taken because their callers are slow.
+    /// Bytes of answers that wait for an earlier one, or that the kernel has not taken because their callers are slow.
     std::uint64_t unsentAnswerBytes();
+    /// Bytes of answers that wait for that of an earlier request of their connection.
+    std::uint64_t waitingAnswerBytes() const { return waitingAnswerBytes_; }
+    /// Whether an answer to this request would wait for that of an earlier one.
+    bool mustWait(ExchangeId) const;
 
 private:
     friend class HttpConnection;
@@ -111,12 +116,15 @@
     /// Refuses requests that are being read until the memory limit holds.
     void makeRoom(HttpConnection const& reading);
     HttpConnection* findLeastActiveReader(std::size_t minBytes);
+    /// Whether requests may be read beside earlier ones of their connections.
+    bool mayReadAhead() const;
 
     EventLoop& loop_;
     HttpHandler& handler_;
     HttpLimits limits_;
     bool isDraining_ { false };
     std::uint64_t heldBodyBytes_ { 0 };
+    std::uint64_t waitingAnswerBytes_ { 0 };
     std::uint64_t maxHeldBytes_ { std::numeric_limits<std::uint64_t>::max() };
     std::size_t maxConnections_ { std::numeric_limits<std::size_t>::max() };
     /// Connections whose last answer the kernel did not take at once.
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -639,6 +639,53 @@
     BOOST_TEST(ask(request("/safe/x", "after"))->status() == "200");
 }
 
+// Case 8 of the review: answers that waited for that of an earlier request took the memory of the host.
+BOOST_AUTO_TEST_CASE(AnswersThatWaitForAnEarlierOneAreBoundedTogether)
+{
+    constexpr std::size_t answerBytes = 3UL << 20;
+    constexpr std::size_t callerCount = 4;
+    constexpr std::size_t requestCount = 16;
+    // Half of the part for answers that have been read.
+    constexpr std::size_t maxWaitingBytes = 36UL << 20;
+    configure();
+    auto const body = std::string(answerBytes, 'b');
+    a.setScript([&](auto const& request) {
+        auto const isSlow = request.starts_with("GET /safe/slow");
+        return FakeServer::Reaction { answerTo(request, "200 OK", isSlow ? std::string() : body),
+            FakeServer::Reaction::Then::Keep, isSlow ? 1500ms : 0ms };
+    });
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (std::size_t i = 0; i < callerCount; ++i) {
+        std::string requests;
+        for (std::size_t j = 0; j < requestCount; ++j)
+            requests += request(j == 0 ? "/safe/slow" : "/safe/x", std::to_string(i * requestCount + j));
+        callers.push_back(std::make_unique<Caller>(loop, address));
+        callers.back()->send(requests);
+    }
+    auto const countAnswers = [](Caller const& caller) {
+        std::size_t count = 0;
+        for (auto at = caller.received().find("HTTP/1.1 "); at != std::string::npos;
+             at = caller.received().find("HTTP/1.1 ", at + 1))
+            ++count;
+        return count;
+    };
+    std::size_t held = 0;
+    auto const areAllAnswered = [&] {
+        held = std::max(held, gateway.heldAnswerBytes());
+        return gateway.requestCount() == 0
+            && std::ranges::all_of(callers, [&](auto const& caller) { return countAnswers(*caller) == requestCount; });
+    };
+    runFor(loop, 1s);
+    held = gateway.heldAnswerBytes();
+    BOOST_TEST(held > maxWaitingBytes / 2);
+    BOOST_TEST(held <= maxWaitingBytes);
+    BOOST_TEST(runUntil(loop, areAllAnswered, 10s));
+    auto const received = std::transform_reduce(callers.begin(), callers.end(), std::size_t { 0 }, std::plus(),
+        [](auto const& caller) { return caller->received().size(); });
+    BOOST_TEST(received <= maxWaitingBytes + answerBytes);
+    BOOST_TEST(runUntil(loop, [&] { return gateway.heldAnswerBytes() == 0; }));
+}
+
 // The connection was established late, and the deadline and the settle time expired in the same iteration of a loaded
 // event loop: the request was refused as not sent, and was then sent.
 BOOST_AUTO_TEST_CASE(ARequestThatWasRefusedAtItsDeadlineIsNotSentInTheSameLoopIteration)
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -267,6 +267,55 @@
     BOOST_TEST(receives(peer, "GET/safe/39"));
 }
 
+// Case 8 of the review: answers behind a slow one filled the memory of the host, since nothing counted them.
+BOOST_AUTO_TEST_CASE(AnswersThatWaitForAnEarlierOneAreCounted)
+{
+    echo.isSilent = true;
+    echo.body = std::string(50'000, 'b');
+    std::optional<Peer> leaving(std::in_place, loop, address);
+    Peer staying(loop, address);
+    for (auto* peer : { &*leaving, &staying }) {
+        auto const before = echo.received.size();
+        peer->stream->write(get("/safe/first") + get("/safe/second") + get("/safe/third"));
+        BOOST_REQUIRE(runUntil(loop, [&] { return echo.received.size() == before + 3; }));
+        echo.answer(before + 1);
+        BOOST_TEST(server->mustWait(echo.received[before + 2].first));
+        BOOST_TEST(!server->mustWait(echo.received[before].first));
+    }
+    BOOST_TEST(server->waitingAnswerBytes() >= 100'000U);
+    BOOST_TEST(server->unsentAnswerBytes() == server->waitingAnswerBytes());
+    leaving.reset();
+    BOOST_TEST(runUntil(loop, [&] { return server->connectionCount() == 1; }));
+    BOOST_TEST(server->waitingAnswerBytes() >= 50'000U);
+    BOOST_TEST(server->waitingAnswerBytes() < 100'000U);
+    echo.answer(3);
+    BOOST_TEST(server->waitingAnswerBytes() == 0U);
+}
+
+// Case 8 of the review, the other half: every connection may have 16 requests in progress, and all may wait.
+BOOST_AUTO_TEST_CASE(NoRequestIsReadAheadWhileWaitingAnswersFillTheMemory)
+{
+    server->setMemoryLimit(1UL << 20);
+    echo.isSilent = true;
+    Peer first(loop, address);
+    first.stream->write(get("/safe/1") + get("/safe/2"));
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 2; }));
+    echo.body = std::string(300'000, 'b');
+    echo.answer(1);
+    Peer second(loop, address);
+    second.stream->write(get("/safe/3") + get("/safe/4"));
+    BOOST_REQUIRE(runUntil(loop, [&] { return echo.requests == 3; }));
+    runFor(loop, 100ms);
+    BOOST_TEST(echo.requests == 3);
+    echo.body.clear();
+    echo.answer(2);
+    BOOST_TEST(runUntil(loop, [&] { return echo.requests == 4; }));
+    echo.answer(3);
+    BOOST_TEST(receives(second, "GET/safe/4"));
+    echo.answer(0);
+    BOOST_TEST(receives(first, "GET/safe/1"));
+}
+
 // Load: crowds of large bodies that stop short of their end. All of them together took the memory of the process.
 BOOST_AUTO_TEST_CASE(TheBodiesOfAllRequestsAreBounded)
 {
