--- a/Libraries/LibConsensus/Configuration.cpp
+++ b/Libraries/LibConsensus/Configuration.cpp
@@ -98,8 +98,8 @@
 Configuration Configuration::ofVoters(std::vector<Member> voters)
 {
     std::ranges::sort(voters);
-    auto const duplicates = std::ranges::unique(voters, {}, &Member::name);
-    voters.erase(duplicates.begin(), duplicates.end());
+    auto const haveSameName = [](auto const& a, auto const& b) { return a.name == b.name; };
+    voters.erase(std::unique(voters.begin(), voters.end(), haveSameName), voters.end());
     return { std::move(voters), {} };
 }
 
