--- a/Tests/Processes/trial.py
+++ b/Tests/Processes/trial.py
@@ -43,8 +43,9 @@
     """Subclasses set `server_type`, and implement `play` and `check`. The latter returns what was broken."""
 
     server_type = None
-    # The number of servers of each pool.
+    # The number of servers of each pool, and the requests that each pool gets.
     server_count = SERVERS
+    rate_per_s = RATE_PER_S
 
     def __init__(self, daemon, record, seed, entry_hosts):
         self.random = random.Random(seed)
@@ -112,7 +113,7 @@
                 task = asyncio.ensure_future(self.request(client, pool))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
-            await asyncio.sleep(self.random.expovariate(RATE_PER_S))
+            await asyncio.sleep(self.random.expovariate(self.rate_per_s))
 
     async def kill_leader(self):
         leader = await self.site.find_leader()
