A part of the retry slack that changes hands is idle for a window first

While entry hosts restart, backend servers that reject most requests get more repeats than the retry limit of their pool allows over all entry hosts together. Cause: each host computed its part of the slack from the hosts that its view listed at that moment. A process that started had a whole part at once, although the one before it had used its own within the same window; when a new leader listed fewer hosts, the listed ones used larger parts while the others went on with theirs. Change: SharedSlack. A host has no part in the first two windows after it was listed, none after a window without a leader that lists it, and a larger part only two windows after others have left the list: in each case longer than the part may be in use elsewhere. Repeats for own requests (the ratio) go on at once. RetryBudgetExhausted (506) says what was counted and among how many hosts the slack is divided. The gateway fixtures allowed retries by slack alone, which a host that has just started no longer has; they allow them by the ratio now.

--- a/Libraries/LibGateway/EntryHost.cpp
+++ b/Libraries/LibGateway/EntryHost.cpp
@@ -57,6 +57,8 @@
 void EntryHost::sendReport()
 {
     reportTimer_ = loop_.after(reportInterval, [this] { sendReport(); });
+    if (leaderConnection_.isConnected())
+        gateway_.onLeaderContact();
     auto const report = gateway_.takeReport();
     if (!report.isEmpty() || report.itemRevision != reportedRevision_)
         leaderConnection_.report(report);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -38,6 +38,7 @@
     , view_(random_.next())
     , reservations_(loop)
     , workspaceLimiter_(loop, settings.quotas)
+    , retrySlack_(settings.retries.window)
     , serverConnections_(loop, codec, settings.linkBytesPerSecond, settings.memory.maxHeldBytes / readAnswersDivisor)
 {
 }
@@ -192,10 +193,20 @@
     return retryBudgets_.try_emplace(pool, settings_.retries).first->second;
 }
 
+void Gateway::onLeaderContact()
+{
+    if (view_.rankOf(settings_.name))
+        retrySlack_.confirm(loop_.now(), view_.entryHostCount());
+}
+
 bool Gateway::tryRetry(Core::PoolName const& pool)
 {
-    if (!retryBudgetOf(pool).tryAcquireRetry(loop_.now(), view_.entryHostCount())) {
-        events_.write(Telemetry::EventId::RetryBudgetExhausted, { { "pool", pool.value } });
+    auto const now = loop_.now();
+    auto& budget = retryBudgetOf(pool);
+    if (!budget.tryAcquireRetry(now, retrySlack_.share(now))) {
+        events_.write(Telemetry::EventId::RetryBudgetExhausted,
+            { { "pool", pool.value }, { "retries", budget.retries() }, { "requests", budget.requests() },
+                { "slackHosts", retrySlack_.entryHosts(now) } });
         return false;
     }
     metrics_.countRetry(pool);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -11,6 +11,7 @@
 #include <LibGateway/ServerBackpressure.h>
 #include <LibGateway/ServerConnections.h>
 #include <LibGateway/ServerLoad.h>
+#include <LibGateway/SharedSlack.h>
 #include <LibGateway/WorkspaceLimiter.h>
 #include <LibNet/HttpServer.h>
 #include <LibTelemetry/EventLog.h>
@@ -55,6 +56,8 @@
     /// Returns false, with `errno` set, if the address cannot be bound.
     bool listen(Core::Endpoint const&);
     void apply(Fleet::ViewUpdate const&);
+    /// To be called several times in each window of the retry budget while this host is connected to the leader.
+    void onLeaderContact();
     /// Sets where reservations are requested. Without it, this host uses only its own share of the servers' limits.
     void setReservationTransport(ReservationTransport& transport) { reservations_.setTransport(transport); }
     void onReservation(Fleet::ReservationReply const& reply) { reservations_.onReply(reply); }
@@ -154,6 +157,7 @@
     Reservations reservations_;
     WorkspaceLimiter workspaceLimiter_;
     std::map<Core::PoolName, RetryBudgetShare> retryBudgets_;
+    SharedSlack retrySlack_;
     std::map<Core::RouteName, PoolSplit> splits_;
     std::map<Core::RouteName, CallerPatience> patience_;
     std::map<std::pair<Core::PoolName, std::uint32_t>, std::uint32_t> arrivals_;
--- a/Libraries/LibGateway/RetryBudgetShare.cpp
+++ b/Libraries/LibGateway/RetryBudgetShare.cpp
@@ -30,13 +30,18 @@
     ++requests_.at(static_cast<std::size_t>(currentStep_) % requests_.size());
 }
 
-bool RetryBudgetShare::tryAcquireRetry(Core::TimePoint now, std::uint32_t entryHosts)
+std::uint32_t RetryBudgetShare::retries() const
+{
+    return std::accumulate(retryCounts_.begin(), retryCounts_.end(), 0U);
+}
+
+std::uint32_t RetryBudgetShare::requests() const { return std::accumulate(requests_.begin(), requests_.end(), 0U); }
+
+bool RetryBudgetShare::tryAcquireRetry(Core::TimePoint now, double slackShare)
 {
     advance(now);
-    auto const requests = std::accumulate(requests_.begin(), requests_.end(), 0U);
-    auto const retries = std::accumulate(retryCounts_.begin(), retryCounts_.end(), 0U);
-    auto const allowed = usedFraction * (budget_.ratio * requests + budget_.slack / std::max(entryHosts, 1U));
-    if (retries + 1 > allowed)
+    auto const allowed = usedFraction * (budget_.ratio * requests() + budget_.slack * slackShare);
+    if (retries() + 1 > allowed)
         return false;
     ++retryCounts_.at(static_cast<std::size_t>(currentStep_) % retryCounts_.size());
     return true;
--- a/Libraries/LibGateway/RetryBudgetShare.h
+++ b/Libraries/LibGateway/RetryBudgetShare.h
@@ -16,8 +16,9 @@
     Core::Duration window { std::chrono::seconds(10) };
 };
 
-/// One entry host's share of the retry budget of one pool: the ratio of its own requests and an equal part of the
-/// slack. The shares add up to the budget however the traffic is distributed. Counts in steps of a tenth of the window.
+/// One entry host's share of the retry budget of one pool: the ratio of its own requests and its part of the slack, see
+/// `SharedSlack`. The shares add up to the budget however the traffic is distributed. Counts in steps of a tenth of the
+/// window.
 class RetryBudgetShare {
 public:
     explicit RetryBudgetShare(RetryBudget const& budget)
@@ -26,8 +27,12 @@
     }
 
     void countRequest(Core::TimePoint now);
-    /// Consumes one retry if the budget allows it.
-    bool tryAcquireRetry(Core::TimePoint now, std::uint32_t entryHosts);
+    /// Consumes one retry if the budget allows it. `slackShare` is this host's part of the slack, from zero to one.
+    bool tryAcquireRetry(Core::TimePoint now, double slackShare);
+
+    /// The retries and the requests of the last window.
+    std::uint32_t retries() const;
+    std::uint32_t requests() const;
 
 private:
     static constexpr std::size_t steps = 10;
--- a/Tests/LibGateway/FakeLeader.h
+++ b/Tests/LibGateway/FakeLeader.h
@@ -63,7 +63,7 @@
     settings.controlHosts = { leader.address };
     settings.stopGrace = grace;
     settings.gateway.name = "entry";
-    settings.gateway.retries = { 0.2, 200, 10s };
+    settings.gateway.retries = { 20, 0, 10s };
     settings.gateway.linkBytesPerSecond = linkBytesPerSecond;
     return settings;
 }
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -31,7 +31,7 @@
     {
         Gateway::GatewaySettings result;
         result.name = "entry";
-        result.retries = { 0.2, 200, 10s };
+        result.retries = { 20, 0, 10s };
         result.leavingGrace = leavingGrace;
         return result;
     }
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -40,7 +40,7 @@
     {
         Gateway::GatewaySettings result;
         result.name = "entry";
-        result.retries = { 0.2, 200, 10s };
+        result.retries = { 20, 0, 10s };
         result.warmupSlack = 0.3;
         result.memory = memory;
         return result;
--- a/Tests/LibGateway/TestLateCopies.cpp
+++ b/Tests/LibGateway/TestLateCopies.cpp
@@ -110,7 +110,7 @@
     {
         Gateway::GatewaySettings result;
         result.name = "entry";
-        result.retries = { 1, 1000, 10s };
+        result.retries = { 20, 0, 10s };
         return result;
     }
 
--- a/Tests/LibGateway/TestPolicies.cpp
+++ b/Tests/LibGateway/TestPolicies.cpp
@@ -210,7 +210,7 @@
             shares[i].countRequest(now);
             events.emplace_back(now, false);
             for (int attempt = 0; attempt < 2; ++attempt) {
-                if (shares[i].tryAcquireRetry(now, hosts))
+                if (shares[i].tryAcquireRetry(now, 1.0 / hosts))
                     events.emplace_back(now, true);
             }
         }
@@ -235,6 +235,16 @@
     BOOST_TEST(share.tryAcquireRetry(start + 12s, 1));
 }
 
+BOOST_AUTO_TEST_CASE(WithoutAPartOfTheSlackOnlyOwnRequestsAllowRetries)
+{
+    RetryBudgetShare share({ 0.2, 8, 10s });
+    BOOST_TEST(!share.tryAcquireRetry(start, 0));
+    for (int i = 0; i < 7; ++i)
+        share.countRequest(start);
+    BOOST_TEST(share.tryAcquireRetry(start, 0));
+    BOOST_TEST(!share.tryAcquireRetry(start, 0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(SendShareLimiterTests)
