What a server asked of its callers holds when it is registered again

A backend server that says in its answers that it leaves, and whose heartbeats cease for 25 s while it runs on and then go on, gets requests again: as many as each entry host sends until it hears the word again, and for owners of keys during the whole grace. Cause: entry hosts kept what they had learned of a server under the number of its registration, and dropped it with the registration; the leader forgot the drain in the same way. A server that returns gets another number. Class of fault: what is known of a process is kept with something that ends before the process does. Change: the leader names the first number of a process when it registers it again, and the drain of a removed server is part of the replicated record. Entry hosts keep everything by process, for ten minutes after it has left the view (KnownServers): what servers ask for (leaving, silence, limit), load, failures and the limiter of cold starts. Within a request, the servers that it was sent to, that rejected it, or that may have run it are processes too: a request that may run once at most could have been sent to the same process under its new number. Answers that arrive while the server is not in the view are read. While control hosts of both versions run, the earlier ones drop the first number, and such a return is forgotten as before.

--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -162,8 +162,13 @@
     if (isReturn && !returning_.onHeartbeat(heartbeat, now))
         return { std::nullopt, false, IgnoredHeartbeat::Removed };
     Command command;
-    command.servers.joined.push_back(heartbeat.server);
-    command.servers.joined.back().isDraining = heartbeat.isDraining;
+    auto& joined = command.servers.joined.emplace_back(heartbeat.server);
+    joined.isDraining = heartbeat.isDraining;
+    // A process that drains ends; its later heartbeats cannot take that back.
+    if (auto const* const departed = state_.findDeparted(name, bornMs)) {
+        joined.firstNumber = departed->process;
+        joined.isDraining = joined.isDraining || departed->wasDraining;
+    }
     return { std::move(command), isReturn, std::nullopt };
 }
 
@@ -389,6 +394,8 @@
             counts[key] += count;
     }
     for (auto const& contact : report.contacts) {
+        if (!state_.findServer(contact.server))
+            continue;
         auto& server = servers_[contact.server];
         if (contact.answers > 0)
             server.refusals = 0;
--- a/Libraries/LibFleet/Model.h
+++ b/Libraries/LibFleet/Model.h
@@ -134,7 +134,7 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DomainChange, domain, isEvacuated)
 
-/// Identifies one incarnation of a backend server. Zero means none.
+/// Identifies one registration of a backend server. Zero means none.
 using ServerNumber = std::uint32_t;
 
 /// One incarnation of a backend server: one run of its process.
@@ -150,9 +150,14 @@
     /// The start of this incarnation as Unix time in milliseconds.
     std::int64_t bornMs { 0 };
     bool isDraining { false };
+    /// The number of the first registration of a process that was removed and has returned; zero if it has not.
+    ServerNumber firstNumber { 0 };
+
+    /// Identifies the process. Unlike the number, it stays the same when a removed process returns.
+    ServerNumber process() const { return firstNumber == 0 ? number : firstNumber; }
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
-    ServerRecord, number, name, address, pool, domain, softwareVersion, slots, bornMs, isDraining)
+void to_json(nlohmann::json&, ServerRecord const&);
+void from_json(nlohmann::json const&, ServerRecord&);
 
 struct ServerChange {
     /// New servers. Their numbers are assigned when the change is applied.
@@ -227,9 +232,12 @@
     std::int64_t bornMs { 0 };
     /// Whether a newer incarnation, or another server at its address, proves that its process has ended.
     bool isSuperseded { false };
+    /// `ServerRecord::process`; zero in records of earlier software versions.
+    ServerNumber process { 0 };
+    bool wasDraining { false };
 };
-// Snapshots of earlier software versions lack the last of these.
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Departed, name, bornMs, isSuperseded)
+// Snapshots of earlier software versions lack the last three.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Departed, name, bornMs, isSuperseded, process, wasDraining)
 
 /// Encodes a value as CBOR.
 template <typename T> std::string encode(T const& value)
--- a/Libraries/LibFleet/State.cpp
+++ b/Libraries/LibFleet/State.cpp
@@ -371,7 +371,8 @@
     auto const found = servers_.find(number);
     if (found == servers_.end())
         return;
-    departed_.push_back({ found->second.name, found->second.bornMs, isSuperseded });
+    auto const& server = found->second;
+    departed_.push_back({ server.name, server.bornMs, isSuperseded, server.process(), server.isDraining });
     if (departed_.size() > maxDeparted)
         departed_.erase(departed_.begin());
     applied.removedNames.push_back(found->second.name);
@@ -416,6 +417,13 @@
     return found == numbers_.end() ? nullptr : findServer(found->second);
 }
 
+Departed const* State::findDeparted(Core::ServerName const& name, std::int64_t bornMs) const
+{
+    auto const found = std::find_if(departed_.rbegin(), departed_.rend(),
+        [&](auto const& life) { return life.name == name && life.bornMs == bornMs; });
+    return found == departed_.rend() ? nullptr : &*found;
+}
+
 bool State::hasDeparted(Core::ServerName const& name, std::int64_t bornMs) const
 {
     return std::ranges::any_of(departed_, [&](auto const& life) { return life.name == name && life.bornMs >= bornMs; });
@@ -441,6 +449,29 @@
     return found->second;
 }
 
+void to_json(nlohmann::json& out, ServerRecord const& server)
+{
+    out = nlohmann::json { { "number", server.number }, { "name", server.name }, { "address", server.address },
+        { "pool", server.pool }, { "domain", server.domain }, { "softwareVersion", server.softwareVersion },
+        { "slots", server.slots }, { "bornMs", server.bornMs }, { "isDraining", server.isDraining },
+        { "firstNumber", server.firstNumber } };
+}
+
+void from_json(nlohmann::json const& in, ServerRecord& server)
+{
+    in.at("number").get_to(server.number);
+    in.at("name").get_to(server.name);
+    in.at("address").get_to(server.address);
+    in.at("pool").get_to(server.pool);
+    in.at("domain").get_to(server.domain);
+    in.at("softwareVersion").get_to(server.softwareVersion);
+    in.at("slots").get_to(server.slots);
+    in.at("bornMs").get_to(server.bornMs);
+    in.at("isDraining").get_to(server.isDraining);
+    // Logs and snapshots of earlier software versions lack it.
+    server.firstNumber = in.value("firstNumber", ServerNumber { 0 });
+}
+
 void to_json(nlohmann::json& out, RouteItem const& route)
 {
     out = nlohmann::json { { "name", route.name }, { "version", route.version }, { "host", route.host },
--- a/Libraries/LibFleet/State.h
+++ b/Libraries/LibFleet/State.h
@@ -72,6 +72,8 @@
     std::map<ServerNumber, ServerRecord> const& servers() const { return servers_; }
     ServerRecord const* findServer(ServerNumber) const;
     ServerRecord const* findServer(Core::ServerName const&) const;
+    /// The latest removal of exactly this incarnation. Null if there was none.
+    Departed const* findDeparted(Core::ServerName const&, std::int64_t bornMs) const;
     /// Whether this incarnation of the server, or a later one, was removed.
     bool hasDeparted(Core::ServerName const&, std::int64_t bornMs) const;
     /// Whether the process of this incarnation, or of a later one that was removed, is known to have ended.
--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -44,6 +44,8 @@
     constexpr std::size_t rangeFields = 5;
     /// The length of the encoding of a removed item, which consists of its name and version.
     constexpr std::size_t removedItemFields = 2;
+    /// The number of fields of a server that every row has.
+    constexpr std::size_t serverFields = 8;
     /// The number of fields of a route before its shares.
     constexpr std::size_t routeFields = 9;
     /// The number of fields of a workspace before its API keys.
@@ -56,6 +58,9 @@
     auto const& server = row.server;
     out = nlohmann::json::array({ server.number, server.name, server.address, server.pool, server.domain, server.slots,
         server.isDraining, row.coldMs });
+    // Entry hosts of earlier versions ignore it.
+    if (server.firstNumber != 0)
+        out.push_back(server.firstNumber);
 }
 
 void from_json(nlohmann::json const& in, ServerRow& row)
@@ -69,6 +74,7 @@
     in.at(5).get_to(server.slots);
     in.at(6).get_to(server.isDraining);
     in.at(7).get_to(row.coldMs);
+    server.firstNumber = in.size() > serverFields ? in.at(serverFields).get<ServerNumber>() : 0;
 }
 
 void to_json(nlohmann::json& out, RouteRow const& row)
--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -211,15 +211,16 @@
             waitForOwner(expectedAt, expectedAt + ownerGrace);
         return;
     }
-    if (!mayRunAt(server->record.number)) {
+    auto const process = server->record.process();
+    if (!mayRunAt(process)) {
         fail(statusBadGateway, "attempts-used");
         return;
     }
-    if (!mayBeSentTo(server->record.number)) {
+    if (!mayBeSentTo(process)) {
         refuse("refused-by-server", defaultRetryAfter);
         return;
     }
-    if (auto const left = gateway_.silenceLeft(server->record.number); left > Core::Duration::zero()) {
+    if (auto const left = gateway_.silenceLeft(process); left > Core::Duration::zero()) {
         refuseForSilence("owner-silent", left);
         return;
     }
@@ -280,9 +281,10 @@
         if (server.record.pool != pool_ || !gateway_.mayServe(server.record))
             continue;
         auto const& load = gateway_.loadOf(server.record);
-        if (load.isUnreachable(now) || triedServers_.contains(number))
+        auto const process = server.record.process();
+        if (load.isUnreachable(now) || triedServers_.contains(process))
             continue;
-        if (auto const left = gateway_.silenceLeft(number); left > Core::Duration::zero()) {
+        if (auto const left = gateway_.silenceLeft(process); left > Core::Duration::zero()) {
             shortestSilence = std::min(shortestSilence.value_or(left), left);
             continue;
         }
@@ -316,7 +318,7 @@
             continue;
         }
         auto const number = server.record.number;
-        if (!mayRunAt(number))
+        if (!mayRunAt(server.record.process()))
             continue;
         auto* const limited = gateway_.limitedServer(number);
         if (limited && number != reservedServer) {
@@ -389,8 +391,9 @@
     load.onSent(cost_);
     ++sends_;
     server_ = server.record.number;
+    process_ = server.record.process();
     sentAt_ = gateway_.loop_.now();
-    triedServers_.insert(server_);
+    triedServers_.insert(process_);
     return true;
 }
 
@@ -411,12 +414,11 @@
     });
 }
 
-void Exchange::onServerSilent(Fleet::ServerNumber number)
+void Exchange::onServerSilent(Fleet::ServerNumber process)
 {
-    if (!connection_ || server_ != number || ServerConnections::hasBegunToSend(*connection_))
+    if (!connection_ || process_ != process || ServerConnections::hasBegunToSend(*connection_))
         return;
-    if (auto const* const server = gateway_.view_.findServer(number))
-        gateway_.loadOf(server->record).onDone(cost_);
+    endSend();
     gateway_.serverConnections_.abandon(std::exchange(connection_, nullptr));
     --sends_;
     dispatch();
@@ -427,7 +429,8 @@
     if (!isWaiting_)
         return;
     auto const* const owner = gateway_.view_.findOwner(pool_, metadata_.key.value_or(0));
-    if (!owner || owner->server == server_ || !gateway_.view_.findServer(owner->server) || !mayBeSentTo(owner->server))
+    auto const* const server = owner ? gateway_.view_.findServer(owner->server) : nullptr;
+    if (!server || server->record.process() == process_ || !mayBeSentTo(server->record.process()))
         return;
     if (sends_ > 0 && !tryStartRetry())
         refuse("owner-changed", defaultRetryAfter);
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -22,8 +22,8 @@
     void onViewChanged();
     /// Limits the deadline of the request to this time. Refuses a request whose awaited owner is expected after it.
     void limitDeadline(Core::TimePoint);
-    /// Takes back the request if it waits to be sent to this server, which wants no requests now.
-    void onServerSilent(Fleet::ServerNumber);
+    /// Takes back the request if it waits to be sent to this server process, which wants no requests now.
+    void onServerSilent(Fleet::ServerNumber process);
     /// Logs that the request is unfinished, and whether it waits for a server or for an owner.
     void logUnfinished() const;
 
@@ -85,12 +85,15 @@
     Core::Duration ownerRetryAfter();
     /// Consumes one retry of the budget, if the request has sends left. Returns whether the request may be sent again.
     bool tryStartRetry();
-    /// Whether the route's limit on servers that may run one request allows this server.
-    bool mayRunAt(Fleet::ServerNumber) const;
+    /// Whether the route's limit on servers that may run one request allows this server process.
+    bool mayRunAt(Fleet::ServerNumber process) const;
     /// Whether the request may be sent to this server (again). After a server has rejected an attempt, a second
     /// rejection of the same attempt may be a late copy of the first one, while the server runs the request. A request
     /// that must run at most once is therefore not sent there again.
-    bool mayBeSentTo(Fleet::ServerNumber) const;
+    bool mayBeSentTo(Fleet::ServerNumber process) const;
+    /// Ends the wait of the current send for its answer, which frees a place at the server. Null if nothing is known of
+    /// the server any more.
+    KnownServer* endSend();
     void startDeadlineTimer();
     void onDeadline();
     void relay(Net::HttpAnswer);
@@ -134,6 +137,7 @@
     /// The connection on which the answer is awaited, or null.
     ServerConnection* connection_ { nullptr };
     Fleet::ServerNumber server_ { 0 };
+    Fleet::ServerNumber process_ { 0 };
     Core::TimePoint sentAt_;
     bool wasIdleAtSend_ { false };
     /// Whether a send had an unknown outcome, so that the request may have run.
@@ -145,13 +149,13 @@
     Fleet::ServerNumber reservedServer_ { 0 };
     /// The time at which the awaited owner is expected.
     Core::TimePoint ownerExpectedAt_;
-    /// The servers that the request was sent to.
+    /// The server processes that the request was sent to.
     std::set<Fleet::ServerNumber> triedServers_;
     /// The servers to which the leader has granted no send of this request.
     std::set<Fleet::ServerNumber> notReserved_;
-    /// The servers that reported that they did not run the request.
+    /// The server processes that reported that they did not run the request.
     std::set<Fleet::ServerNumber> rejectedBy_;
-    /// The servers that may have run the request.
+    /// The server processes that may have run the request.
     std::set<Fleet::ServerNumber> mayHaveRunAt_;
     Net::EventLoop::TimerId deadlineTimer_;
     Net::EventLoop::TimerId waitTimer_;
--- a/Libraries/LibGateway/ExchangeOutcomes.cpp
+++ b/Libraries/LibGateway/ExchangeOutcomes.cpp
@@ -37,9 +37,9 @@
     auto const elapsed = gateway_.loop_.now() - sentAt_;
     auto const isMisdirected = answer.head.status == statusMisdirected;
     connection_ = nullptr;
-    if (auto const* const server = gateway_.view_.findServer(server_)) {
-        auto& load = gateway_.loadOf(server->record);
-        load.onDone(cost_);
+    // Also if the server has left the view: it may return, and what it asks for holds then.
+    if (auto* const server = endSend()) {
+        auto& load = server->load;
         if (isMisdirected)
             load.onMisdirected(gateway_.loop_.now());
         else
@@ -60,7 +60,7 @@
         }
     }
     if (metadata.isNotRun || isMisdirected) {
-        rejectedBy_.insert(server_);
+        rejectedBy_.insert(process_);
         if (!mayHaveRun_) {
             onNotRun(isMisdirected);
             return;
@@ -83,7 +83,7 @@
             refuse("refused-by-server", defaultRetryAfter);
         return;
     }
-    if (auto const left = gateway_.silenceLeft(server_); left > Core::Duration::zero()) {
+    if (auto const left = gateway_.silenceLeft(process_); left > Core::Duration::zero()) {
         refuseForSilence("owner-silent", left);
         return;
     }
@@ -92,7 +92,7 @@
         waitForOwner(gateway_.loop_.now(), gateway_.loop_.now() + misdirectedWait);
         return;
     }
-    if (mayBeSentTo(server_) && remainingTime() > sameServerPause && tryStartRetry())
+    if (mayBeSentTo(process_) && remainingTime() > sameServerPause && tryStartRetry())
         waitTimer_ = gateway_.loop_.after(sameServerPause, [this] { dispatch(); });
     else
         refuse("refused-by-server", ownerRetryAfter());
@@ -109,20 +109,26 @@
 
 bool Exchange::tryStartRetry() { return sends_ < maxSends && gateway_.tryRetry(pool_); }
 
-bool Exchange::mayRunAt(Fleet::ServerNumber server) const
+bool Exchange::mayRunAt(Fleet::ServerNumber process) const
 {
-    return mayHaveRunAt_.size() < maxAttempts_ || mayHaveRunAt_.contains(server);
+    return mayHaveRunAt_.size() < maxAttempts_ || mayHaveRunAt_.contains(process);
 }
 
-bool Exchange::mayBeSentTo(Fleet::ServerNumber server) const { return isSafe() || !rejectedBy_.contains(server); }
+bool Exchange::mayBeSentTo(Fleet::ServerNumber process) const { return isSafe() || !rejectedBy_.contains(process); }
+
+KnownServer* Exchange::endSend()
+{
+    auto* const server = gateway_.known_.find(process_);
+    if (server)
+        server->load.onDone(cost_);
+    return server;
+}
 
 void Exchange::onFailure(Net::ExchangeFailure failure)
 {
     connection_ = nullptr;
     auto const now = gateway_.loop_.now();
-    auto const* const server = gateway_.view_.findServer(server_);
-    if (server)
-        gateway_.loadOf(server->record).onDone(cost_);
+    auto* const server = endSend();
     gateway_.events_.write(EventId::RequestOutcomeUnknown,
         { { "request", metadata_.attemptId }, { "route", route_.value },
             { "server", server ? server->record.name.value : "" }, { "failure", Net::toString(failure) },
@@ -134,15 +140,15 @@
             gateway_.countRefusal(server_);
         --sends_;
         if (server)
-            gateway_.loadOf(server->record).onUnreachable(now);
+            server->load.onUnreachable(now);
         dispatch();
         return;
     }
     if (server)
-        gateway_.loadOf(server->record).onBrokenAnswer(now);
+        server->load.onBrokenAnswer(now);
     gateway_.suspicions_.push_back({ toText(fingerprint()), server_ });
     mayHaveRun_ = true;
-    mayHaveRunAt_.insert(server_);
+    mayHaveRunAt_.insert(process_);
     if (isSafe() && remainingTime() > sameServerPause && tryStartRetry()) {
         waitTimer_ = gateway_.loop_.after(sameServerPause, [this] { dispatch(); });
         return;
@@ -211,8 +217,7 @@
         refuse(reason, defaultRetryAfter);
         return;
     }
-    if (auto const* const server = gateway_.view_.findServer(server_))
-        gateway_.loadOf(server->record).onDone(cost_);
+    endSend();
     auto const hasBegunToSend = ServerConnections::hasBegunToSend(*connection_);
     gateway_.serverConnections_.abandon(std::exchange(connection_, nullptr));
     if (hasBegunToSend)
@@ -234,8 +239,7 @@
         refundQuota();
     if (!connection_)
         return;
-    if (auto const* const server = gateway_.view_.findServer(server_))
-        gateway_.loadOf(server->record).onDone(cost_);
+    endSend();
     gateway_.serverConnections_.abandon(std::exchange(connection_, nullptr));
 }
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -81,10 +81,9 @@
 {
     for (auto const number : view_.apply(update, loop_.now())) {
         serverConnections_.removeServer(number);
-        loads_.erase(number);
-        coldStartLimiters_.erase(number);
-        backpressures_.erase(number);
+        known_.onRemoved(number, loop_.now());
     }
+    applyServers(update);
     if (update.isWhole || update.entryHosts || update.evacuated || !update.servers.empty()
         || !update.removedServers.empty())
         subsets_.clear();
@@ -109,6 +108,24 @@
     forEachExchange([](Exchange& exchange) { exchange.onViewChanged(); });
 }
 
+void Gateway::applyServers(Fleet::ViewUpdate const& update)
+{
+    for (auto const& row : update.servers) {
+        auto* const returned = known_.onRecord(row.server);
+        if (!returned || !returned->backpressure)
+            continue;
+        auto& backpressure = *returned->backpressure;
+        events_.write(Telemetry::EventId::ServerReturned,
+            { { "server", row.server.name.value }, { "pool", row.server.pool.value },
+                { "isLeaving", backpressure.isLeaving() },
+                { "silentMs", Core::toMilliseconds(backpressure.silenceLeft(loop_.now())) },
+                { "perSecond", backpressure.requestLimit().value_or(0) } });
+        // The leader knows nothing of it under its new number.
+        backpressure.repeatReport();
+        backpressure.repeatLeavingReport();
+    }
+}
+
 void Gateway::onRequest(Net::ExchangeId id, Net::HttpRequest request)
 {
     auto exchange = std::make_unique<Exchange>(*this, id, std::move(request));
@@ -169,11 +186,6 @@
         loop_.reclaim(std::move(node.mapped()));
 }
 
-ServerLoad& Gateway::loadOf(Fleet::ServerRecord const& server)
-{
-    return loads_.try_emplace(server.number, server.slots).first->second;
-}
-
 std::vector<Fleet::ServerNumber> const& Gateway::subsetOf(Core::PoolName const& pool)
 {
     auto const [found, isNew] = subsets_.try_emplace(pool);
@@ -216,15 +228,18 @@
 bool Gateway::tryAcquireColdSend(Fleet::ViewServer const& server, Fleet::PoolItem const& pool)
 {
     auto const now = loop_.now();
+    auto& limiter = known_.at(server.record).coldStart;
     if (server.coldUntil <= now) {
-        coldStartLimiters_.erase(server.record.number);
+        limiter.reset();
         return true;
     }
+    if (!limiter)
+        limiter.emplace(coldStartWindow);
     auto const host = shareOf(server.record.number);
     auto const perSecond
         = (pool.warmupPerSecond * settings_.warmupFactor + settings_.warmupSlack) * usedColdRateFraction;
     SendShare const share { static_cast<std::size_t>(perSecond), host.entryHosts, host.rank };
-    return coldStartLimiters_.try_emplace(server.record.number, coldStartWindow).first->second.tryAcquire(now, share);
+    return limiter->tryAcquire(now, share);
 }
 
 EntryHostShare Gateway::shareOf(Fleet::ServerNumber server) const { return rotatedShare(server); }
@@ -257,9 +272,9 @@
         { "server", server.name.value },
         { "pool", server.pool.value },
     };
-    if (signals.isLeaving && backpressures_[server.number].onLeaving(loop_.now()))
+    if (signals.isLeaving && recordedBackpressureOf(server).onLeaving(loop_.now()))
         events_.write(Telemetry::EventId::ServerLeaving, fields);
-    if (signals.isLeavingUnreadable && backpressures_[server.number].isFirstUnreadableLeaving())
+    if (signals.isLeavingUnreadable && recordedBackpressureOf(server).isFirstUnreadableLeaving())
         events_.write(Telemetry::EventId::ServerLeavingUnreadable, fields);
 }
 
@@ -270,20 +285,20 @@
         { "pool", server.pool.value },
         { "seconds", std::chrono::duration<double>(signals.silence.value_or(Core::Duration::zero())).count() },
     };
-    if (signals.isSilenceUnreadable && backpressures_[server.number].isFirstUnreadableSilence())
+    if (signals.isSilenceUnreadable && recordedBackpressureOf(server).isFirstUnreadableSilence())
         events_.write(Telemetry::EventId::ServerSilenceUnreadable, fields);
     if (!signals.silence)
         return;
     metrics_.countSilence(server.pool);
-    if (!backpressures_[server.number].onSilence(loop_.now(), *signals.silence))
+    if (!recordedBackpressureOf(server).onSilence(loop_.now(), *signals.silence))
         return;
     events_.write(Telemetry::EventId::ServerSilent, fields);
-    forEachExchange([&](Exchange& exchange) { exchange.onServerSilent(server.number); });
+    forEachExchange([&](Exchange& exchange) { exchange.onServerSilent(server.process()); });
 }
 
-Core::Duration Gateway::silenceLeft(Fleet::ServerNumber server)
+Core::Duration Gateway::silenceLeft(Fleet::ServerNumber process)
 {
-    auto const* const backpressure = backpressureOf(server);
+    auto const* const backpressure = backpressureOf(process);
     return backpressure ? backpressure->silenceLeft(loop_.now()) : Core::Duration::zero();
 }
 
@@ -292,7 +307,7 @@
     std::optional<Core::Duration> shortest;
     for (auto const& [number, server] : view_.servers()) {
         if (server.record.pool == pool && mayServe(server.record))
-            shortest = std::min(shortest.value_or(Core::Duration::max()), silenceLeft(number));
+            shortest = std::min(shortest.value_or(Core::Duration::max()), silenceLeft(server.record.process()));
     }
     return shortest.value_or(Core::Duration::zero());
 }
@@ -300,10 +315,10 @@
 void Gateway::onLimitSignals(
     Fleet::ServerRecord const& server, BackpressureSignals const& signals, Core::TimePoint sentAt)
 {
-    auto const isKnown = backpressures_.contains(server.number);
-    if (!isKnown && !signals.requestLimit && !signals.isLimitUnreadable)
+    auto const hasAsked = backpressureOf(server.process()) != nullptr;
+    if (!hasAsked && !signals.requestLimit && !signals.isLimitUnreadable)
         return;
-    auto& backpressure = backpressures_[server.number];
+    auto& backpressure = recordedBackpressureOf(server);
     if (!signals.isLimitUnreadable) {
         backpressure.onAnswer({ signals.requestLimit, sentAt, loop_.now() });
         return;
@@ -317,39 +332,48 @@
 void Gateway::applyRequestLimits(Fleet::ViewUpdate const& update)
 {
     for (auto const& row : update.requestLimits) {
-        if (view_.findServer(row.server))
-            backpressures_[row.server].onLeaderStatement(Fleet::toStatement(row, loop_.now()));
+        if (auto const* const server = view_.findServer(row.server))
+            recordedBackpressureOf(server->record).onLeaderStatement(Fleet::toStatement(row, loop_.now()));
     }
     if (!update.isWhole)
         return;
-    for (auto& [number, backpressure] : backpressures_) {
-        backpressure.repeatReport();
-        backpressure.repeatLeavingReport();
-    }
+    known_.forEachInView([](KnownServer& server) {
+        if (!server.backpressure)
+            return;
+        server.backpressure->repeatReport();
+        server.backpressure->repeatLeavingReport();
+    });
 }
 
-ServerBackpressure* Gateway::backpressureOf(Fleet::ServerNumber server)
+ServerBackpressure* Gateway::backpressureOf(Fleet::ServerNumber process)
 {
-    auto const found = backpressures_.find(server);
-    return found == backpressures_.end() ? nullptr : &found->second;
+    auto* const server = known_.find(process);
+    return server && server->backpressure ? &*server->backpressure : nullptr;
 }
 
-ServerBackpressure* Gateway::limitedServer(Fleet::ServerNumber server)
+ServerBackpressure& Gateway::recordedBackpressureOf(Fleet::ServerRecord const& record)
 {
-    auto* const backpressure = backpressureOf(server);
+    auto& backpressure = known_.at(record).backpressure;
+    return backpressure ? *backpressure : backpressure.emplace();
+}
+
+ServerBackpressure* Gateway::limitedServer(Fleet::ServerNumber number)
+{
+    auto const* const server = view_.findServer(number);
+    auto* const backpressure = server ? backpressureOf(server->record.process()) : nullptr;
     return backpressure && backpressure->requestLimit() ? backpressure : nullptr;
 }
 
 bool Gateway::mayServe(Fleet::ServerRecord const& server)
 {
-    auto const* const backpressure = backpressureOf(server.number);
+    auto const* const backpressure = backpressureOf(server.process());
     return view_.mayServe(server) && !(backpressure && backpressure->isLeaving());
 }
 
 bool Gateway::mayServeKeys(Fleet::ViewServer const& server)
 {
     auto const now = loop_.now();
-    auto const* const backpressure = backpressureOf(server.record.number);
+    auto const* const backpressure = backpressureOf(server.record.process());
     return view_.mayServeKeys(server, now)
         && !(backpressure && backpressure->hasBeenLeavingFor(settings_.leavingGrace, now));
 }
@@ -414,12 +438,15 @@
         report.latencies.push_back(sum);
     for (auto const& [number, occupancy] : occupancies_)
         report.occupancies.push_back(occupancy);
-    for (auto& [number, backpressure] : backpressures_) {
-        if (backpressure.takeReportDue())
-            report.requestLimits.push_back(Fleet::toRow(number, backpressure.newestStatement(), loop_.now()));
-        if (backpressure.takeLeavingReportDue())
+    known_.forEachInView([&](KnownServer& server) {
+        if (!server.backpressure)
+            return;
+        auto const number = server.record.number;
+        if (server.backpressure->takeReportDue())
+            report.requestLimits.push_back(Fleet::toRow(number, server.backpressure->newestStatement(), loop_.now()));
+        if (server.backpressure->takeLeavingReportDue())
             report.leaving.push_back(number);
-    }
+    });
     if (suspicions_.size() > maxSuspicions)
         suspicions_.resize(maxSuspicions);
     report.suspicions = std::exchange(suspicions_, {});
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -2,15 +2,13 @@
 
 #include <LibCore/Random.h>
 #include <LibGateway/CallerPatience.h>
+#include <LibGateway/KnownServers.h>
 #include <LibGateway/PoolSplit.h>
 #include <LibGateway/RecentAnswers.h>
 #include <LibGateway/RequestCosts.h>
 #include <LibGateway/Reservations.h>
 #include <LibGateway/RetryBudgetShare.h>
-#include <LibGateway/SendShareLimiter.h>
-#include <LibGateway/ServerBackpressure.h>
 #include <LibGateway/ServerConnections.h>
-#include <LibGateway/ServerLoad.h>
 #include <LibGateway/SharedSlack.h>
 #include <LibGateway/WorkspaceLimiter.h>
 #include <LibNet/HttpServer.h>
@@ -99,7 +97,9 @@
     void finish(Net::ExchangeId, Net::HttpResponse);
     /// Calls the function for each exchange. The function may end the exchange.
     void forEachExchange(std::function<void(Exchange&)> const&);
-    ServerLoad& loadOf(Fleet::ServerRecord const&);
+    ServerLoad& loadOf(Fleet::ServerRecord const& server) { return known_.at(server).load; }
+    /// Takes over the records of the servers that the update adds or changes.
+    void applyServers(Fleet::ViewUpdate const&);
     /// The servers of a pool without keys that this host uses first, in the order of preference.
     std::vector<Fleet::ServerNumber> const& subsetOf(Core::PoolName const&);
     RetryBudgetShare& retryBudgetOf(Core::PoolName const&);
@@ -110,13 +110,15 @@
     void onLimitSignals(Fleet::ServerRecord const&, BackpressureSignals const&, Core::TimePoint sentAt);
     void onLeavingSignals(Fleet::ServerRecord const&, BackpressureSignals const&);
     void onSilenceSignals(Fleet::ServerRecord const&, BackpressureSignals const&);
-    /// The time for which a server wants no request from this host; zero if it takes requests.
-    Core::Duration silenceLeft(Fleet::ServerNumber);
+    /// The time for which a server process wants no request from this host; zero if it takes requests.
+    Core::Duration silenceLeft(Fleet::ServerNumber process);
     /// The time until the first server of the pool takes requests again; zero if any does, or if there is none.
     Core::Duration poolSilenceLeft(Core::PoolName const&);
     void applyRequestLimits(Fleet::ViewUpdate const&);
-    /// Returns what a server has asked for since it joined; null if nothing.
-    ServerBackpressure* backpressureOf(Fleet::ServerNumber);
+    /// Returns what a server process has asked for; null if nothing.
+    ServerBackpressure* backpressureOf(Fleet::ServerNumber process);
+    /// The same. What it asks for is recorded there from now on.
+    ServerBackpressure& recordedBackpressureOf(Fleet::ServerRecord const&);
     /// Whether a server of a pool without keys may get requests.
     bool mayServe(Fleet::ServerRecord const&);
     /// Whether a server may get requests for the keys that it owns.
@@ -147,13 +149,10 @@
     GatewaySettings settings_;
     Core::Random random_;
     Fleet::View view_;
-    std::map<Fleet::ServerNumber, ServerLoad> loads_;
+    KnownServers known_;
     RequestCosts costs_;
     /// Computed on demand, and cleared when servers or entry hosts change.
     std::map<Core::PoolName, std::vector<Fleet::ServerNumber>> subsets_;
-    std::map<Fleet::ServerNumber, SendShareLimiter> coldStartLimiters_;
-    /// The servers that have asked for anything since they joined.
-    std::map<Fleet::ServerNumber, ServerBackpressure> backpressures_;
     Reservations reservations_;
     WorkspaceLimiter workspaceLimiter_;
     std::map<Core::PoolName, RetryBudgetShare> retryBudgets_;
--- a/Libraries/LibTelemetry/Event.cpp
+++ b/Libraries/LibTelemetry/Event.cpp
@@ -78,6 +78,7 @@
         PRIMROSESHIFT_EVENT(ServerSilent, Info, "A backend server turned a request away and wants none from this entry host for a time.", "Look at the server if it repeats."),
         PRIMROSESHIFT_EVENT(ServerSilenceUnreadable, Warning, "A backend server asks for silence for a time that cannot be read; it is ignored.", "Correct the server. Logged once for each server."),
         PRIMROSESHIFT_EVENT(MemoryLimitReached, Warning, "A request that was being read was refused, since requests and answers take the memory that they may.", "Look for callers that send large bodies and stay open; add entry hosts if the load is legitimate."),
+        PRIMROSESHIFT_EVENT(ServerReturned, Info, "A backend server that had left the view is in it again, and what it asked of callers holds on.", "Compare with BackendReturned of the control leader."),
         PRIMROSESHIFT_EVENT(DispatcherAppointed, Info, "This host dispatches a group of backend servers.", "None."),
         PRIMROSESHIFT_EVENT(DispatcherDismissed, Info, "This host no longer dispatches a group.", "None."),
         PRIMROSESHIFT_EVENT(QueueFull, Warning, "A dispatch queue is full; work is rejected as overloaded.", "Add backend servers to the pool."),
--- a/Libraries/LibTelemetry/Event.h
+++ b/Libraries/LibTelemetry/Event.h
@@ -78,6 +78,7 @@
     ServerSilent = 415,
     ServerSilenceUnreadable = 416,
     MemoryLimitReached = 417,
+    ServerReturned = 418,
     // Dispatch: 500 to 599.
     DispatcherAppointed = 500,
     DispatcherDismissed = 501,
--- a/Tests/LibFleet/TestCoordinator.cpp
+++ b/Tests/LibFleet/TestCoordinator.cpp
@@ -635,6 +635,51 @@
     BOOST_TEST(isRegistered(leader, server));
 }
 
+// DRAIN of issue 54: the drain was forgotten with the registration.
+BOOST_AUTO_TEST_CASE(AServerThatDrainedDrainsAfterItsReturn)
+{
+    for (auto const hasNewLeader : { false, true }) {
+        Leader leader;
+        Server server(makeServer(1));
+        run(leader, { &server }, 4);
+        auto const number = leader.state().findServer(server.record.name)->number;
+        LoadReport report;
+        report.leaving = { number };
+        leader.coordinator().onLoadReport(leader.now(), report);
+        leader.advance(26s);
+        BOOST_REQUIRE(!isRegistered(leader, server));
+        if (hasNewLeader)
+            leader.restart();
+        run(leader, { &server }, 6);
+        auto const* const returned = leader.state().findServer(server.record.name);
+        BOOST_REQUIRE(returned);
+        BOOST_TEST(returned->isDraining);
+        BOOST_TEST(returned->number != number);
+        BOOST_TEST(returned->process() == number);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AProcessKeepsItsIdentityOverSeveralReturns)
+{
+    Leader leader;
+    Server server(makeServer(1));
+    run(leader, { &server }, 4);
+    auto const process = leader.state().findServer(server.record.name)->process();
+    for (int i = 0; i < 3; ++i) {
+        leader.advance(26s);
+        run(leader, { &server }, 3);
+        auto const* const returned = leader.state().findServer(server.record.name);
+        BOOST_REQUIRE(returned);
+        BOOST_TEST(returned->process() == process);
+        BOOST_TEST(!returned->isDraining);
+    }
+    auto again = startAgain(server);
+    run(leader, { &again }, 2);
+    auto const* const restarted = leader.state().findServer(server.record.name);
+    BOOST_REQUIRE(restarted);
+    BOOST_TEST(restarted->process() == restarted->number);
+}
+
 BOOST_AUTO_TEST_CASE(ANewLeaderLetsARemovedServerReturn)
 {
     Leader leader;
--- a/Tests/LibFleet/TestState.cpp
+++ b/Tests/LibFleet/TestState.cpp
@@ -407,6 +407,45 @@
     BOOST_TEST(state.keyRanges(lettersPool).front().owner == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ARemovedProcessAndItsDrainAreKnown)
+{
+    State state;
+    state.apply(configure());
+    auto server = makeServer(1);
+    state.apply(join(server));
+    Command command;
+    command.servers.draining.push_back(1);
+    state.apply(command);
+    command = {};
+    command.servers.removed.push_back(1);
+    state.apply(command);
+    State restored;
+    BOOST_REQUIRE(restored.restore(state.snapshot()));
+    auto const* const departed = restored.findDeparted(server.name, server.bornMs);
+    BOOST_REQUIRE(departed);
+    BOOST_TEST(departed->process == 1U);
+    BOOST_TEST(departed->wasDraining);
+    BOOST_TEST(restored.findDeparted(server.name, server.bornMs + 1) == nullptr);
+    server.firstNumber = departed->process;
+    restored.apply(join(server));
+    auto const* const returned = restored.findServer(server.name);
+    BOOST_REQUIRE(returned);
+    BOOST_TEST(returned->number == 2U);
+    BOOST_TEST(returned->process() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ServersInSnapshotsOfEarlierVersionsHaveNotReturned)
+{
+    State state;
+    state.apply(configure());
+    state.apply(join(makeServer(1)));
+    nlohmann::json snapshot = state;
+    for (auto& entry : snapshot.at("servers"))
+        entry.at(1).erase("firstNumber");
+    BOOST_REQUIRE(state.restore(encode(snapshot)));
+    BOOST_TEST(state.findServer(1)->process() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AReplacedIncarnationIsKnownToHaveEnded)
 {
     State state;
--- a/Tests/LibFleet/TestView.cpp
+++ b/Tests/LibFleet/TestView.cpp
@@ -42,6 +42,21 @@
     BOOST_TEST(view.findRoute("host.example", "/new/x") != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(ARowSaysThatAServerHasReturned)
+{
+    ViewUpdate update;
+    for (ServerNumber const first : { 0U, 3U }) {
+        auto server = makeServer(1);
+        server.number = 7;
+        server.firstNumber = first;
+        update.servers = { { server, 250 } };
+        auto const decoded = decode<ViewUpdate>(encode(update));
+        BOOST_REQUIRE(decoded.has_value());
+        BOOST_TEST(decoded->servers.front().server.process() == (first == 0 ? 7U : first));
+        BOOST_TEST(decoded->servers.front().coldMs == 250);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AFullUpdateRemovesServersAndRangesThatItLacks)
 {
     View view;
--- a/Tests/LibGateway/TestSharedSlack.cpp
+++ b/Tests/LibGateway/TestSharedSlack.cpp
@@ -52,8 +52,8 @@
             for (auto& host : hosts_) {
                 if (host.isFrozen)
                     continue;
-                auto const share = std::chrono::duration<double>(step).count() * perSecond
-                    / static_cast<double>(hosts_.size());
+                auto const share
+                    = std::chrono::duration<double>(step).count() * perSecond / static_cast<double>(hosts_.size());
                 if (random_.unit() < share) {
                     host.budget.countRequest(now_);
                     requests_.push_back(now_);
@@ -69,8 +69,8 @@
     {
         double worst = 0;
         for (auto const begin : retries_) {
-            auto const allowed = budget.ratio * static_cast<double>(std::max(count(requests_, begin),
-                                     count(requests_, begin - budget.window)))
+            auto const allowed = budget.ratio
+                    * static_cast<double>(std::max(count(requests_, begin), count(requests_, begin - budget.window)))
                 + budget.slack;
             worst = std::max(worst, static_cast<double>(count(retries_, begin)) / allowed);
         }
