Tests: two lost disks and a power loss of all other hosts at once

Nothing played lost disks while the others lose what they have not synced. What the loss of unsynced data does is played only in virtual time.

--- a/Tests/LibConsensus/TestScenarios.cpp
+++ b/Tests/LibConsensus/TestScenarios.cpp
@@ -1,5 +1,7 @@
 #include "Simulation.h"
 
+#include <LibCore/Random.h>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace Consensus;
@@ -666,6 +668,41 @@
     cluster.change(PromoteLearner { { wiped } });
 }
 
+// What was acknowledged is on the disks of three hosts at least, of which one stays, and has been synced there.
+BOOST_AUTO_TEST_CASE(AcknowledgedProposalsSurviveTwoLostDisksAndAPowerLossOfAllOthers)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        Core::Random random(seed);
+        Cluster cluster(5, { .seed = seed });
+        auto& simulation = cluster.simulation;
+        std::vector<std::string> members { "a", "b", "c", "d", "e" };
+        for (auto const* const replacements : { "fg", "hi" }) {
+            cluster.commit(10 + random.below(60));
+            // The end comes while some are in progress.
+            for (std::uint64_t i = random.below(20); i > 0; --i)
+                simulation.propose(cluster.leader());
+            simulation.runFor(std::chrono::milliseconds(random.below(15)));
+            for (auto const& name : members)
+                simulation.crash(name, random.below(2) == 0);
+            for (auto i = members.size() - 1; i > 0; --i)
+                std::swap(members[i], members[random.below(i + 1)]);
+            // Two start with empty disks under their names, and must not count as voters.
+            std::vector<std::string> const lost { members[0], members[1] };
+            for (auto const& name : lost)
+                simulation.join(name);
+            for (std::size_t i = 2; i < members.size(); ++i)
+                simulation.restart(members[i]);
+            BOOST_REQUIRE(simulation.waitForLeader());
+            for (std::size_t i = 0; i < lost.size(); ++i) {
+                cluster.change(RemoveMember { { lost[i] } });
+                members[i] = std::string(1, replacements[i]);
+                cluster.add(members[i]);
+            }
+            BOOST_REQUIRE(simulation.violation() == "");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(SingleVoterWorksAlone)
 {
     Cluster cluster(1);
