A started entry host sends nothing to cold servers at first

By reading: the same cause as that of the retry limit, a fixed share that is spent twice. Cause: the share of a cold server's limit belongs to a second, and a process that starts has a whole one; hosts that a new leader does not list go on with theirs, while the listed ones divide the limit among themselves. Change: no send to a cold server in the first 1.1 s of a process, nor without a place in the list of entry hosts; hosts that left the list count for two windows of the retry limit, as there. A new leader publishes what the first heartbeat of each server says, so that hosts which took it for cold as nobody knew learn soon that it is not, and servers of pools without a warm-up time are not taken for cold at all. Result: AStartedHostSendsNothingToAColdServerAtFirst fails without the change by its construction (the first request was sent); TestLibGateway 153 tests and TestLibFleet without errors, release.

--- a/Libraries/LibFleet/Coordinator.cpp
+++ b/Libraries/LibFleet/Coordinator.cpp
@@ -191,12 +191,13 @@
     server.bornMs = known->bornMs;
     server.lastSequence = heartbeat.sequence;
     server.lastHeartbeat = now;
-    server.hasHeartbeat = true;
+    auto const isFirst = !std::exchange(server.hasHeartbeat, true);
     server.refusals = 0;
     auto const coldUntil
         = heartbeat.warmupLeft > Core::Duration::zero() ? now + heartbeat.warmupLeft : Core::TimePoint {};
     auto const wasCold = server.coldUntil.value_or(Core::TimePoint {}) > now;
-    if (std::exchange(server.isAssumedCold, false) || (coldUntil > now) != wasCold)
+    // Entry hosts that know nothing of the server take it for cold until they are told.
+    if (isFirst || (coldUntil > now) != wasCold)
         coldChanges_.push_back(known->number);
     server.coldUntil = coldUntil;
     auto const* const pool = state_.findPool(known->pool);
@@ -352,7 +353,6 @@
 void Coordinator::noteJoin(Core::TimePoint now, ServerRecord const& server)
 {
     joins_.try_emplace(server.pool, PoolJoins { now, now }).first->second.latest = now;
-    servers_[server.number].isAssumedCold = true;
     // Heartbeats from before a return are as old as they were.
     if (auto const sequence = returning_.takeReturned(server.name, server.bornMs))
         servers_[server.number].lastSequence = sequence;
--- a/Libraries/LibFleet/Coordinator.h
+++ b/Libraries/LibFleet/Coordinator.h
@@ -203,8 +203,6 @@
         Core::TimePoint lastHeartbeat;
         /// Empty if unknown.
         std::optional<Core::TimePoint> coldUntil;
-        /// Whether the server joined under this leader, and entry hosts assume that it is cold.
-        bool isAssumedCold { false };
         /// The mean service time of an answer in milliseconds; zero before the first report.
         double meanMs { 0 };
         /// The number of recent answers that `meanMs` is averaged over.
--- a/Libraries/LibFleet/View.cpp
+++ b/Libraries/LibFleet/View.cpp
@@ -405,12 +405,19 @@
         if (row.coldMs)
             server.coldUntil = now + std::chrono::milliseconds(*row.coldMs);
         else if (isNew)
-            server.coldUntil = now + assumedColdTime;
+            server.coldUntil = now + assumedColdTimeOf(row.server.pool);
         if (row.server.isDraining && !server.drainingSince)
             server.drainingSince = isNew || update.isWhole ? now - drainGrace : now;
     }
 }
 
+Core::Duration View::assumedColdTimeOf(Core::PoolName const& name) const
+{
+    auto const* const pool = findPool(name);
+    return pool ? std::min(assumedColdTime, Core::Duration(std::chrono::milliseconds(pool->warmupMs)))
+                : assumedColdTime;
+}
+
 void View::indexRoutes()
 {
     routesByHost_.clear();
--- a/Libraries/LibFleet/View.h
+++ b/Libraries/LibFleet/View.h
@@ -134,8 +134,8 @@
     /// to serve them for a grace period, until its keys have moved.
     bool mayServeKeys(ViewServer const&, Core::TimePoint now) const;
 
-    /// The time for which a server counts as cold if neither the leader nor this host knows whether it is. A server
-    /// sends a heartbeat about once a second, and finds a new leader within another one.
+    /// The longest time for which a server counts as cold if neither the leader nor this host knows whether it is. A
+    /// server sends a heartbeat about once a second, and finds a new leader within another one.
     static constexpr Core::Duration assumedColdTime = std::chrono::milliseconds(2000);
     /// The time for which a draining owner still gets requests. It is shorter than the two seconds that the drain of a
     /// server may take, so that the change can reach every entry host.
@@ -158,6 +158,9 @@
     void indexRoutes();
     void applyEvacuations(std::set<std::string> const&, Core::TimePoint now);
     void applyServers(ViewUpdate const&, Core::TimePoint now);
+    /// The time for which a server of the pool counts as cold if nobody knows. No server is cold for longer than the
+    /// pool's warm-up time.
+    Core::Duration assumedColdTimeOf(Core::PoolName const&) const;
 
     bool isConfigured_ { false };
     std::uint64_t itemRevision_ { 0 };
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -39,6 +39,7 @@
     , reservations_(loop)
     , workspaceLimiter_(loop, settings.quotas)
     , retrySlack_(settings.retries.window)
+    , startedAt_(loop.now())
     , serverConnections_(loop, codec, settings.linkBytesPerSecond, settings.memory.maxHeldBytes / readAnswersDivisor)
 {
 }
@@ -196,7 +197,8 @@
         if (server.record.pool == pool && view_.mayServe(server.record))
             servers.push_back(&server.record);
     }
-    found->second = ServerSubset::choose(servers, rotatedShare(0), settings_.failureDomain);
+    EntryHostShare share { view_.entryHostCount(), view_.rankOf(settings_.name) };
+    found->second = ServerSubset::choose(servers, share, settings_.failureDomain);
     return found->second;
 }
 
@@ -236,6 +238,9 @@
     if (!limiter)
         limiter.emplace(coldStartWindow);
     auto const host = shareOf(server.record.number);
+    // The process that this one replaces may have used its share, and hosts that do not list this one the whole limit.
+    if (!host.rank || now - startedAt_ < coldStartWindow)
+        return false;
     auto const perSecond
         = (pool.warmupPerSecond * settings_.warmupFactor + settings_.warmupSlack) * usedColdRateFraction;
     SendShare const share { static_cast<std::size_t>(perSecond), host.entryHosts, host.rank };
@@ -252,7 +257,7 @@
 EntryHostShare Gateway::rotatedShare(std::uint64_t rotation) const
 {
     EntryHostShare share;
-    share.entryHosts = view_.entryHostCount();
+    share.entryHosts = std::max(view_.entryHostCount(), retrySlack_.largestEntryHosts());
     if (auto const rank = view_.rankOf(settings_.name))
         share.rank = static_cast<std::uint32_t>((*rank + rotation) % share.entryHosts);
     return share;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -129,7 +129,8 @@
     EntryHostShare shareOf(Fleet::ServerNumber) const;
     /// The share of this entry host in the quota of the workspace.
     EntryHostShare shareOf(Core::WorkspaceName const&) const;
-    /// The rank of this entry host, rotated so that the first ranks go to different hosts for each limit.
+    /// The rank of this entry host, rotated so that the first ranks go to different hosts for each limit. Hosts that
+    /// the view does not list any more may still use their shares, and count for a while.
     EntryHostShare rotatedShare(std::uint64_t rotation) const;
     std::size_t connectionLimit(Fleet::PoolItem const&) const;
     void countArrival(Core::PoolName const&, std::uint32_t key);
@@ -157,6 +158,7 @@
     WorkspaceLimiter workspaceLimiter_;
     std::map<Core::PoolName, RetryBudgetShare> retryBudgets_;
     SharedSlack retrySlack_;
+    Core::TimePoint startedAt_;
     std::map<Core::RouteName, PoolSplit> splits_;
     std::map<Core::RouteName, CallerPatience> patience_;
     std::map<std::pair<Core::PoolName, std::uint32_t>, std::uint32_t> arrivals_;
--- a/Libraries/LibGateway/SharedSlack.h
+++ b/Libraries/LibGateway/SharedSlack.h
@@ -30,6 +30,8 @@
     double share(Core::TimePoint now) const;
     /// The number of hosts among which the allowance is divided; zero if this host has no part.
     std::uint32_t entryHosts(Core::TimePoint now) const;
+    /// The largest number of hosts that may have parts, also if this host has none; zero if it was never listed.
+    std::uint32_t largestEntryHosts() const { return recent_.empty() ? 0 : recent_.front().entryHosts; }
 
 private:
     struct Confirmation {
--- a/Tests/LibFleet/TestView.cpp
+++ b/Tests/LibFleet/TestView.cpp
@@ -79,6 +79,15 @@
     BOOST_TEST((view.findServer(2)->coldUntil <= start + 1s));
     // This host has just started, so that it cannot know either.
     BOOST_TEST((view.findServer(3)->coldUntil == start + 1s + View::assumedColdTime));
+    // No server of a pool without a warm-up time is ever cold.
+    ViewUpdate warm;
+    PoolItem pool;
+    pool.name = lettersPool;
+    pool.version = 1;
+    warm.pools = { { lettersPool.value, { 1, pool } } };
+    warm.servers = { rowOf(4, std::nullopt) };
+    view.apply(warm, start + 1s);
+    BOOST_TEST((view.findServer(4)->coldUntil == start + 1s));
     ViewUpdate told;
     told.servers = { rowOf(3, 0) };
     view.apply(told, start + 2s);
--- a/Tests/LibGateway/TestExchange.cpp
+++ b/Tests/LibGateway/TestExchange.cpp
@@ -18,6 +18,9 @@
 /// machine load.
 constexpr Core::Duration promptRefusalLimit = 1s;
 
+/// The time for which a started host sends nothing to cold servers, and some more.
+constexpr Core::Duration firstColdWindow = 1200ms;
+
 /// The deadline of requests whose answers are endless. Longer than any test waits, so that no answer ends by it.
 constexpr int endlessDeadlineMs = 30'000;
 
@@ -433,11 +436,34 @@
     row.coldMs = 5000;
     update.servers = { row };
     gateway.apply(update);
+    runFor(loop, firstColdWindow);
     for (int i = 0; i < 6; ++i)
         ask(request("/safe/x", std::to_string(i)));
     BOOST_TEST(a.requests().size() == 1);
 }
 
+// FAILBACK: the process that a host replaces may have used its share of the limit within the same second, and hosts
+// that do not list it the whole limit.
+BOOST_AUTO_TEST_CASE(AStartedHostSendsNothingToAColdServerAtFirst)
+{
+    configure();
+    Fleet::ViewUpdate update;
+    auto row = server(1, a, keyed);
+    row.coldMs = 5000;
+    update.servers = { row };
+    update.entryHosts = { "other" };
+    gateway.apply(update);
+    BOOST_TEST(ask(request("/safe/x", "1"))->status() == "503");
+    runFor(loop, firstColdWindow);
+    BOOST_TEST(ask(request("/safe/x", "2"))->status() == "503");
+    BOOST_TEST(a.requests().empty());
+    Fleet::ViewUpdate listed;
+    listed.entryHosts = { "entry" };
+    gateway.apply(listed);
+    ask(request("/safe/x", "3"));
+    BOOST_TEST(a.requests().size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(AQuarantinedRequestReachesNoServer)
 {
     configure();
