--- a/Tests/Processes/test_fault_soak.py
+++ b/Tests/Processes/test_fault_soak.py
@@ -2,9 +2,9 @@
 are killed, stopped, frozen and reloaded, up to a frozen majority of the control hosts, servers that crash and return under
 their names, and changes of the configuration. Meanwhile servers say that they leave, ask for silence or name limits.
 
-Checks, from what callers and servers see: DRAIN, BUDGET and LIMIT of what servers ask for; what may not repeat runs at most
-once, and never after a refusal; answers belong to their requests; confirmed routes are in force, are not lost again and
-are read back; all is served in the end.
+Checks, from what callers and servers see: DRAIN, BUDGET and LIMIT of what servers ask for; the sum of all repeats at a
+pool; what may not repeat runs at most once, and never after a refusal; answers belong to their requests; confirmed routes
+are in force, are not lost again and are read back; all is served in the end.
 """
 
 import asyncio
@@ -24,6 +24,7 @@
 CONFIG_APPLY_S = 2.0
 SILENCE_TOLD_S = 0.5
 SILENCE_ARRIVALS = 2
+RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 56, 10
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
@@ -361,6 +362,26 @@
             self.broken.append("LIMIT: %d requests in 4 s at %s of %s, %g allowed" % (
                 worst, server.life, server.service, allowed))
 
+    def check_repeats(self, pool):
+        """The arrivals beyond the first of each attempt, at all servers of the pool, through all entry hosts."""
+        seen, repeats = set(), []
+        for at, attempt in sorted((at, attempt) for server in self.lives if server.service == pool
+                                  for at, _, attempt in server.arrivals):
+            if attempt in seen:
+                repeats.append(at)
+            seen.add(attempt)
+        sent = [at for at, where, *_ in self.outcomes if where == pool]
+        requests = lambda begin: sum(1 for at in sent if begin <= at < begin + RETRY_WINDOW_S)
+        worst = 0.0
+        for begin in repeats:
+            count = sum(1 for at in repeats if begin <= at < begin + RETRY_WINDOW_S)
+            allowed = RETRY_SLACK + RETRY_RATIO * max(
+                requests(begin), requests(begin - RETRY_WINDOW_S), requests(begin - RETRY_WINDOW_S / 2))
+            worst = max(worst, count / allowed)
+        self.record.say("%s: %d repeats, at most %.2f of what is allowed in ten seconds" % (pool, len(repeats), worst))
+        if worst > 1:
+            self.broken.append("BUDGET: %s: %.2f of the repeats that are allowed" % (pool, worst))
+
     def check_runs(self):
         for attempt, status in self.refused:
             if self.site.runs.get(attempt):
@@ -376,6 +397,7 @@
             self.check_limit(server)
         self.check_runs()
         for pool in POOLS:
+            self.check_repeats(pool)
             sent, served = self.served(pool, self.ended - 4, self.ended - DEADLINE_S)
             self.record.say("%s: %d of %d served at the end" % (pool, served, sent))
             if served < SERVED_AT_THE_END * sent:
