A server that an update adds and removes does not count as one of the view

Cause: changes are collected into updates, so one may have the row of a server and its removal. The entry host took it for registered, and reported what it knew of it under a number that the leader does not have. Change: only rows that the view holds after the update count.

--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -136,6 +136,7 @@
     bool isReturning_ { false };
     /// The connection on which the answer is awaited, or null.
     ServerConnection* connection_ { nullptr };
+    /// The registration and the process of the server that the request was last sent to; zero if it was not sent.
     Fleet::ServerNumber server_ { 0 };
     Fleet::ServerNumber process_ { 0 };
     Core::TimePoint sentAt_;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -112,7 +112,8 @@
 void Gateway::applyServers(Fleet::ViewUpdate const& update)
 {
     for (auto const& row : update.servers) {
-        auto* const returned = known_.onRecord(row.server);
+        // The update may remove it, too.
+        auto* const returned = view_.findServer(row.server.number) ? known_.onRecord(row.server) : nullptr;
         if (!returned || !returned->backpressure)
             continue;
         auto& backpressure = *returned->backpressure;
@@ -197,7 +198,7 @@
         if (server.record.pool == pool && view_.mayServe(server.record))
             servers.push_back(&server.record);
     }
-    EntryHostShare share { view_.entryHostCount(), view_.rankOf(settings_.name) };
+    EntryHostShare const share { view_.entryHostCount(), view_.rankOf(settings_.name) };
     found->second = ServerSubset::choose(servers, share, settings_.failureDomain);
     return found->second;
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -157,6 +157,7 @@
     Reservations reservations_;
     WorkspaceLimiter workspaceLimiter_;
     std::map<Core::PoolName, RetryBudgetShare> retryBudgets_;
+    /// The part of this host in the slack of each retry budget.
     SharedSlack retrySlack_;
     Core::TimePoint startedAt_;
     std::map<Core::RouteName, PoolSplit> splits_;
--- a/Tests/LibGateway/TestReturningServers.cpp
+++ b/Tests/LibGateway/TestReturningServers.cpp
@@ -189,6 +189,19 @@
     BOOST_TEST(owner.requests().size() == 1);
 }
 
+// Changes are collected into updates, so one may add a server and remove it.
+BOOST_AUTO_TEST_CASE(AServerThatAnUpdateAddsAndRemovesIsNotInTheView)
+{
+    owner.setScript(answering("200 OK", "done", "Leaving: yes\r\n"));
+    ask("/safe/x", "1");
+    remove();
+    Fleet::ViewUpdate update;
+    update.servers = { returned(11, 1, owner, keyed) };
+    update.removedServers = { 11 };
+    gateway.apply(update);
+    BOOST_TEST(gateway.takeReport().leaving.empty());
+}
+
 BOOST_AUTO_TEST_CASE(ANewProcessUnderTheSameNameIsNotTakenForTheOldOne)
 {
     owner.setScript(answering("200 OK", "done", "Leaving: yes\r\n"));
