A server that has returned is measured anew

Cause: since entry hosts remember a server's load by process, and with it the service time measured before it left. Change: what was measured and reported is forgotten when the server returns to the view. Requests in flight and failures stay. AServerIsMeasuredAnewAfterItsReturn.

--- a/Libraries/LibGateway/KnownServers.cpp
+++ b/Libraries/LibGateway/KnownServers.cpp
@@ -36,6 +36,9 @@
     processes_[record.number] = record.process();
     server->record = record;
     server->isInView = true;
+    // Measured before it left, which may be long ago.
+    if (hasReturned)
+        server->load.forgetMeasurements();
     return hasReturned ? server : nullptr;
 }
 
--- a/Libraries/LibGateway/KnownServers.h
+++ b/Libraries/LibGateway/KnownServers.h
@@ -38,7 +38,8 @@
     KnownServer& at(Fleet::ServerRecord const&);
     /// The server with this process number, also if it has left the view. Null if nothing is known of it.
     KnownServer* find(Fleet::ServerNumber process);
-    /// Takes over a record of the view, if the process is known. Returns the server if it has returned to the view.
+    /// Takes over a record of the view, if the process is known. Returns the server if it has returned to the view; its
+    /// load has to be measured anew then.
     KnownServer* onRecord(Fleet::ServerRecord const&);
     /// The registration with this number has left the view. Forgets the processes that left it long ago.
     void onRemoved(Fleet::ServerNumber, Core::TimePoint now);
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -82,6 +82,17 @@
     }
 }
 
+void ServerLoad::forgetMeasurements()
+{
+    slowness_ = 1;
+    hasServiceTime_ = false;
+    serviceTime_ = assumedServiceTime;
+    othersAtReport_ = 0;
+    reportedAt_ = {};
+    estimatedRequests_ = 0;
+    estimatedAt_ = {};
+}
+
 std::optional<Core::Duration> ServerLoad::serviceTimeOf(
     Core::Duration elapsed, bool wasIdleAtSend, std::optional<ServerLoadReport> const& report)
 {
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -27,6 +27,9 @@
     void onEstimate(double requests, Core::Duration serviceTime, Core::TimePoint now);
     /// Records the service time of a request of this relative cost.
     void onServiceTime(Core::Duration, double cost = 1);
+    /// Forgets what was measured and reported, so that the server is measured anew. Keeps the requests in flight and
+    /// the failures.
+    void forgetMeasurements();
     /// Estimates the service time of an answered request without its queueing delay. Uses the queue length that the
     /// server reports: on an overloaded server every request is queued, so that it would otherwise never be measured as
     /// slow. Empty if the server reports no load and may have been busy.
@@ -70,6 +73,9 @@
     bool hasRoom(Core::TimePoint now, double reserved) const;
 
 private:
+    /// The service time of a server that was not measured.
+    static constexpr Core::Duration assumedServiceTime = std::chrono::milliseconds(100);
+
     std::uint32_t slots_;
     std::uint32_t inFlight_ { 0 };
     /// The sum of the relative costs of the requests in flight.
@@ -80,7 +86,7 @@
     Core::TimePoint reportedAt_;
     double estimatedRequests_ { 0 };
     Core::TimePoint estimatedAt_;
-    Core::Duration serviceTime_ { std::chrono::milliseconds(100) };
+    Core::Duration serviceTime_ { assumedServiceTime };
     std::uint32_t failures_ { 0 };
     std::uint32_t misdirected_ { 0 };
     Core::TimePoint avoidUntil_;
--- a/Tests/LibGateway/TestReturningServers.cpp
+++ b/Tests/LibGateway/TestReturningServers.cpp
@@ -247,6 +247,28 @@
     BOOST_TEST(inView == (std::set<Fleet::ServerNumber> { 3, 7 }), boost::test_tools::per_element());
 }
 
+// Guards against a server that is hardly used after its return, since it was slow before.
+BOOST_AUTO_TEST_CASE(AServerIsMeasuredAnewAfterItsReturn)
+{
+    Core::TimePoint const start { 1000s };
+    Gateway::KnownServers known;
+    Fleet::ServerRecord record;
+    record.number = 1;
+    auto& load = known.at(record).load;
+    auto const fresh = load.serviceTime();
+    load.onSent();
+    load.onServiceTime(5s);
+    load.onReport({ 4, 9, 4, 3 }, start);
+    BOOST_TEST(load.occupancy(start) > 10);
+    known.onRemoved(1, start);
+    record.firstNumber = std::exchange(record.number, 2);
+    BOOST_REQUIRE(known.onRecord(record));
+    BOOST_TEST((load.serviceTime() == fresh));
+    BOOST_TEST(load.currentSlowness(start) == 1);
+    // The request in flight.
+    BOOST_TEST(load.occupancy(start) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(TheNumberOfRememberedProcessesIsBounded)
 {
     constexpr Fleet::ServerNumber count = 10'000;
