--- a/Tests/Platform/TestChangeParser.cpp
+++ b/Tests/Platform/TestChangeParser.cpp
@@ -12,9 +12,14 @@
     std::string routes;
     for (std::size_t i = 0; i < count; ++i) {
         auto const name = std::to_string(i);
-        routes += std::string(routes.empty() ? "" : ",") + R"({"Name":"r)" + name + R"(","Host":"h","PathPrefix":"/)"
-            + name
-            + R"(/","Kind":"safe","TimeoutS":1,"TargetLatencyS":1,"Priority":1,"Service":"s","MaxAttempts":2,"Version":1})";
+        if (!routes.empty())
+            routes += ',';
+        routes += R"({"Name":"r)";
+        routes += name;
+        routes += R"(","Host":"h","PathPrefix":"/)";
+        routes += name;
+        routes
+            += R"(/","Kind":"safe","TimeoutS":1,"TargetLatencyS":1,"Priority":1,"Service":"s","MaxAttempts":2,"Version":1})";
     }
     return R"({"Upsert":{"Routes":[)" + routes + R"(],"Services":[]},"Remove":{"Routes":[]}})";
 }
