Tests: bodies of uploads wait for what else the link carries (red)

The pacer of bodies hands them over as fast as the whole link takes them and counts neither small requests nor answers to callers.

--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -246,6 +246,23 @@
     BOOST_TEST(receiver.failures == 0);
 }
 
+// Requests that are too small to be held up take their part of the link all the same.
+BOOST_AUTO_TEST_CASE(BodiesWaitForTheSmallRequestsBeforeThem)
+{
+    EventLoop loop;
+    EarlyServer server(loop);
+    AnswerReceiver receiver;
+    BulkPacer pacer(100e3);
+    HttpClientSettings settings;
+    settings.pacer = &pacer;
+    HttpClient client(loop, receiver, server.address, settings);
+    auto const startedAt = loop.now();
+    // These take the link for 100 ms.
+    client.send(requestOf(10'000), nullptr, false);
+    BOOST_TEST(runUntil(loop, [&] { return receiver.answers == 1; }));
+    BOOST_TEST((pacer.nextAt() >= startedAt + 100ms));
+}
+
 // RFC 9110 section 8.6: the length is that of the body which an answer to an unconditional request would have.
 BOOST_AUTO_TEST_CASE(AnAnswerThatHasNoBodyMayNameALargeOne)
 {
