--- a/Tests/LibControlHost/TestControlHost.cpp
+++ b/Tests/LibControlHost/TestControlHost.cpp
@@ -180,6 +180,9 @@
         return change;
     }
 
+    Net::EventLoop& loop() { return loop_; }
+    Core::Endpoint const& addressOf(std::size_t index) const { return addresses_.at(index); }
+
 private:
     std::filesystem::path root_;
     Core::SystemClock clock_;
@@ -192,6 +195,35 @@
     std::array<std::unique_ptr<ControlHost::ControlHost>, size> hosts_;
 };
 
+/// A host that sends frames to a control host and collects the leaders that this one names.
+class HintReader final : private Net::FrameHandler {
+public:
+    HintReader(Net::EventLoop& loop, Core::Endpoint const& address)
+        : channel_(loop, *this, address)
+    {
+    }
+
+    template <typename T> void send(ControlHost::FrameType type, T const& value)
+    {
+        channel_.send(ControlHost::makeFrame(type, value));
+    }
+
+    std::vector<std::optional<Core::Endpoint>> leaders;
+
+private:
+    void onFrame(Net::FrameChannel&, std::string_view frame) override
+    {
+        if (frame.front() != static_cast<char>(ControlHost::FrameType::Leader))
+            return;
+        auto const hint = Fleet::decode<ControlHost::LeaderHint>(frame.substr(1));
+        BOOST_REQUIRE(hint.has_value());
+        leaders.push_back(hint->leader);
+    }
+    void onClosed(Net::FrameChannel&) override { }
+
+    Net::FrameChannel channel_;
+};
+
 void startAll(Group& group)
 {
     // The order is arbitrary: no host depends on the others listening already.
@@ -351,3 +383,31 @@
     group.leader()->prepareStop();
     BOOST_TEST(group.runUntil([&] { return group.leader() && group.leaderIndex() != before; }, 2s));
 }
+
+// Soak seed 411: control hosts that were frozen named a leader that had stepped down meanwhile to that host itself. It
+// passed this on to entry hosts, which then waited for its view, and went on waiting when it led again.
+BOOST_AUTO_TEST_CASE(AHostThatDoesNotLeadNamesItselfToNobody)
+{
+    Group group;
+    group.start(0, true);
+    auto const& address = group.addressOf(0);
+    HintReader reader(group.loop(), address);
+    reader.send(ControlHost::FrameType::Leader, ControlHost::LeaderHint { address, {} });
+    reader.send(ControlHost::FrameType::Hello, ControlHost::Hello { "entry", 0, {} });
+    BOOST_REQUIRE(group.runUntil([&] { return !reader.leaders.empty(); }));
+    BOOST_TEST((group.leader() == nullptr));
+    BOOST_TEST(!reader.leaders.front().has_value());
+}
+
+// What others name is passed on, so that a host that has lost its disk finds the group.
+BOOST_AUTO_TEST_CASE(AHostThatDoesNotLeadPassesOnWhomOthersName)
+{
+    Group group;
+    group.start(0, true);
+    HintReader reader(group.loop(), group.addressOf(0));
+    reader.send(ControlHost::FrameType::Leader, ControlHost::LeaderHint { group.addressOf(1), {} });
+    reader.send(ControlHost::FrameType::Hello, ControlHost::Hello { "entry", 0, {} });
+    BOOST_REQUIRE(group.runUntil([&] { return !reader.leaders.empty(); }));
+    BOOST_REQUIRE(reader.leaders.front().has_value());
+    BOOST_TEST((*reader.leaders.front() == group.addressOf(1)));
+}
--- a/Tests/LibGateway/FakeLeader.h
+++ b/Tests/LibGateway/FakeLeader.h
@@ -27,6 +27,8 @@
 
     Core::Endpoint const address { "127.0.0.1", freePort() };
     std::vector<ControlHost::Hello> hellos;
+    /// The first entry hosts of this number get no view, though the leader names itself to them.
+    std::size_t forgottenHellos { 0 };
     Fleet::ViewUpdate view;
 
 private:
@@ -39,6 +41,8 @@
         BOOST_REQUIRE(hello.has_value());
         hellos.push_back(*hello);
         channel.send(makeFrame(ControlHost::FrameType::Leader, ControlHost::LeaderHint { address, { address } }));
+        if (hellos.size() <= forgottenHellos)
+            return;
         loop_.after(delay_, [this, &channel] {
             view.isWhole = true;
             view.itemRevision = 7;
--- a/Tests/LibGateway/TestLeaderConnection.cpp
+++ b/Tests/LibGateway/TestLeaderConnection.cpp
@@ -87,3 +87,14 @@
     for (auto const fd : held)
         ::close(fd);
 }
+
+// An entry host must not wait for ever for the view of a control host that has forgotten it.
+BOOST_FIXTURE_TEST_CASE(ALeaderThatSendsNoViewIsAskedAgain, LeaderConnectionFixture)
+{
+    FakeLeader leader(loop, 0s);
+    leader.forgottenHellos = 1;
+    LeaderConnection connection(loop, *events, receiver, "entry", { leader.address });
+    BOOST_TEST(runUntil(
+        loop, [&] { return connection.isConnected(); }, 8s));
+    BOOST_TEST(leader.hellos.size() == 2U);
+}
