LibControlHost: a host that does not lead names itself to nobody

That its cause is this one is inferred: its logs were not kept.

Cause: a control host without a leader asks others to join. One of them that was frozen answers with the leader it knew, which may be the asking host itself, which has stepped down meanwhile. It passed that on to entry hosts as the leader (and to callers of its API as a redirect to itself). An entry host keeps a channel whose peer names itself, as a view follows. None did, and when that host led again, the entry host did not connect to it a second time (isConnectingTo).

Change: a control host ignores a hint that names itself. An entry host gives up an attempt without a view after 5 s, and logs it.

--- a/Libraries/LibControlHost/ControlHost.cpp
+++ b/Libraries/LibControlHost/ControlHost.cpp
@@ -344,7 +344,11 @@
     joiners_[identity] = { { identity, request.address }, loop_.now() };
 }
 
-void ControlHost::onHint(LeaderHint const& hint) { hintedLeader_ = hint.leader; }
+void ControlHost::onHint(LeaderHint const& hint)
+{
+    // A host knows itself whether it leads. One that was frozen may name a leader that has stepped down meanwhile.
+    hintedLeader_ = hint.leader == settings_.address ? std::nullopt : hint.leader;
+}
 
 void ControlHost::onReport(Net::FrameChannel& channel, Fleet::LoadReport const& report)
 {
@@ -630,10 +634,9 @@
     std::vector<Core::Endpoint> candidates = settings_.seeds;
     std::ranges::transform(status.configuration.voters, std::back_inserter(candidates), &Consensus::Member::endpoint);
     std::erase(candidates, settings_.address);
-    auto const isHintUsed = hintedLeader_ && *hintedLeader_ != settings_.address;
-    if (!isHintUsed && candidates.empty())
+    if (!hintedLeader_ && candidates.empty())
         return;
-    auto const target = isHintUsed ? *hintedLeader_ : candidates[nextSeed_++ % candidates.size()];
+    auto const target = hintedLeader_ ? *hintedLeader_ : candidates[nextSeed_++ % candidates.size()];
     // The hint is used only once, so that a wrong hint has no lasting effect.
     hintedLeader_.reset();
     channelTo(target).send(makeFrame(FrameType::Join, JoinRequest { identity_.value, settings_.address }));
--- a/Libraries/LibControlHost/ControlHost.h
+++ b/Libraries/LibControlHost/ControlHost.h
@@ -132,6 +132,7 @@
     Core::TimePoint lastMetrics_;
     std::size_t itemChangesInProgress_ { 0 };
     std::size_t nextSeed_ { 0 };
+    /// The leader that another host has named; never this host.
     std::optional<Core::Endpoint> hintedLeader_;
     Net::EventLoop::TimerId timer_;
 };
--- a/Libraries/LibGateway/LeaderConnection.cpp
+++ b/Libraries/LibGateway/LeaderConnection.cpp
@@ -18,6 +18,8 @@
     constexpr Core::Duration parallelAttemptDelay = std::chrono::milliseconds(250);
     /// Maximum number of parallel attempts. Two control hosts may fail at the same time.
     constexpr std::size_t maxAttempts = 3;
+    /// The time after which an attempt without a view is given up. A view takes up to a second on a saturated link.
+    constexpr Core::Duration viewTimeout = std::chrono::seconds(5);
 
 } // namespace
 
@@ -94,6 +96,7 @@
 {
     if (leader_)
         return;
+    giveUpOldAttempts();
     if (attempts_.size() < maxAttempts) {
         if (auto const candidate = nextCandidate())
             connect(*candidate);
@@ -101,10 +104,23 @@
     scheduleSearch(parallelAttemptDelay);
 }
 
+void LeaderConnection::giveUpOldAttempts()
+{
+    std::vector<Net::FrameChannel*> old;
+    for (auto const& attempt : attempts_) {
+        if (loop_.now() - attempt.startedAt > viewTimeout)
+            old.push_back(attempt.channel.get());
+    }
+    for (auto* const channel : old) {
+        events_.write(EventId::PeerUnreachable, { { "peer", peerOf(*channel).toString() }, { "reason", "no view" } });
+        closeChannel(*channel);
+    }
+}
+
 void LeaderConnection::connect(Core::Endpoint const& endpoint)
 {
     Net::FrameHandler& handler = *this;
-    attempts_.push_back({ endpoint, std::make_unique<Net::FrameChannel>(loop_, handler, endpoint) });
+    attempts_.push_back({ endpoint, std::make_unique<Net::FrameChannel>(loop_, handler, endpoint), loop_.now() });
 }
 
 void LeaderConnection::onOpen(Net::FrameChannel& channel)
--- a/Libraries/LibGateway/LeaderConnection.h
+++ b/Libraries/LibGateway/LeaderConnection.h
@@ -22,8 +22,8 @@
 /// The connection of an entry host to the control leader.
 ///
 /// Searches for the leader among all known control hosts. On a saturated network link an answer may take most of a
-/// second, and a frozen control host accepts connections but never answers. A slow attempt is therefore not aborted;
-/// the next one is started in parallel. The first control host that sends a view is the leader.
+/// second, and a frozen control host accepts connections but never answers. A slow attempt is therefore not aborted
+/// for some seconds; the next one is started in parallel. The first control host that sends a view is the leader.
 class LeaderConnection final : private Net::FrameHandler {
 public:
     LeaderConnection(Net::EventLoop&, Telemetry::EventLog&, LeaderConnectionHandler&, std::string name,
@@ -42,6 +42,7 @@
     struct Attempt {
         Core::Endpoint peer;
         std::unique_ptr<Net::FrameChannel> channel;
+        Core::TimePoint startedAt;
     };
 
     void onOpen(Net::FrameChannel&) override;
@@ -50,6 +51,8 @@
 
     /// Starts an attempt, unless the leader is known or `maxAttempts` are in progress, and schedules the next search.
     void findLeader();
+    /// Closes the attempts that have had no view for too long, so that their peers are asked again.
+    void giveUpOldAttempts();
     void scheduleSearch(Core::Duration);
     void connect(Core::Endpoint const&);
     void onView(Net::FrameChannel&, Fleet::ViewUpdate const&);
