Tests: uploads that wait for the link and servers that leave (red)

An upload that its caller sent at 18.6 s reached its server at 22.1 s, 2.9 s after the acknowledgement that the server leaves (bound 2.5 s); the server took 0.17 s to begin with it. So it was on the host's link for that long.

Hypotheses: it waited for its turn at the pacer (then nothing had been sent to the server when the word came), or its first bytes were sent before and the rest shared the link with others. On this code the second always holds: all bodies share the link by pieces. All three tests fail on (release build, one run).

--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -17,9 +17,10 @@
 /// A gateway with routes to a key-divided pool (/safe/, /unsafe/) and to a pool without keys (/any/). The test adds
 /// servers.
 struct GatewayFixture {
-    GatewayFixture()
+    /// The link is not a bottleneck if its bandwidth is zero.
+    explicit GatewayFixture(double linkBytesPerSecond = 0)
         : events(Telemetry::EventLog::open({ .file = folder.file("event.log") }, clock).value())
-        , gateway(loop, *events, metrics, codec, settings())
+        , gateway(loop, *events, metrics, codec, settings(linkBytesPerSecond))
     {
         address = { "127.0.0.1", freePort() };
         BOOST_REQUIRE(gateway.listen(address));
@@ -27,9 +28,10 @@
 
     static constexpr Core::Duration leavingGrace = 300ms;
 
-    static Gateway::GatewaySettings settings()
+    static Gateway::GatewaySettings settings(double linkBytesPerSecond)
     {
         Gateway::GatewaySettings result;
+        result.linkBytesPerSecond = linkBytesPerSecond;
         result.name = "entry";
         result.retries = { 20, 0, 10s };
         result.leavingGrace = leavingGrace;
--- a/Tests/LibGateway/TestLeavingServers.cpp
+++ b/Tests/LibGateway/TestLeavingServers.cpp
@@ -7,8 +7,9 @@
 /// A key-divided pool of two servers, of which the first owns all keys, and a pool without keys of two servers. The
 /// first server of each pool says that it leaves.
 struct LeavingFixture : GatewayFixture {
-    LeavingFixture()
-        : owner(loop, answering("200 OK", "done", "Leaving: yes\r\n"))
+    explicit LeavingFixture(double linkBytesPerSecond = 0)
+        : GatewayFixture(linkBytesPerSecond)
+        , owner(loop, answering("200 OK", "done", "Leaving: yes\r\n"))
         , heir(loop, answering("200 OK", "heir"))
         , leaving(loop, answering("200 OK", "leaving", "Leaving: yes\r\n"))
         , staying(loop, answering("200 OK", "staying"))
@@ -39,6 +40,13 @@
     }
     /// The grace of an owner that leaves has passed.
     void passGrace() { runFor(loop, leavingGrace + 100ms); }
+    std::unique_ptr<Caller> upload(std::string const& path, std::string const& id, std::size_t bytes)
+    {
+        auto caller = std::make_unique<Caller>(loop, address);
+        caller->send(request(path, id, std::string(bytes, 'b'), 8000));
+        runFor(loop, 50ms);
+        return caller;
+    }
 
     FakeServer owner;
     FakeServer heir;
@@ -46,6 +54,14 @@
     FakeServer staying;
 };
 
+/// Uploads of 60 KB take the link for 300 ms each.
+struct NarrowLinkFixture : LeavingFixture {
+    NarrowLinkFixture()
+        : LeavingFixture(200e3)
+    {
+    }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(LeavingServers, LeavingFixture)
@@ -159,3 +175,66 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// DRAIN: uploads that wait for the link reached their servers seconds after these had said that they leave.
+BOOST_FIXTURE_TEST_SUITE(LeavingServersAndUploads, NarrowLinkFixture)
+
+BOOST_AUTO_TEST_CASE(AnUploadThatWaitsForTheLinkIsNotSentToAServerThatDrains)
+{
+    auto update = view();
+    update.isWhole = true;
+    // Only one server is left to choose.
+    std::erase_if(update.servers, [](auto const& row) { return row.server.number == 4; });
+    gateway.apply(update);
+    auto const first = upload("/any/x", "1", 120'000);
+    auto const second = upload("/any/x", "2", 30'000);
+    Fleet::ViewUpdate change;
+    change.servers = { server(3, leaving, unkeyed), server(4, staying, unkeyed) };
+    change.servers.front().server.isDraining = true;
+    gateway.apply(change);
+    BOOST_TEST(first->waitForAnswer());
+    BOOST_TEST(second->waitForAnswer());
+    BOOST_TEST(first->status() == "200");
+    BOOST_TEST(second->status() == "200");
+    BOOST_TEST(leaving.requests().size() == 1U);
+    BOOST_TEST(staying.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnUploadThatWaitsForTheLinkIsNotSentToAFormerOwner)
+{
+    owner.setScript(answering("200 OK", "owner"));
+    auto const first = upload("/unsafe/x", "1", 120'000);
+    auto const second = upload("/unsafe/x", "2", 30'000);
+    Fleet::ViewUpdate change;
+    change.ranges.rows.push_back({ keyed, 0, Fleet::keyCount - 1, 2, 0 });
+    gateway.apply(change);
+    BOOST_TEST(first->waitForAnswer());
+    BOOST_TEST(second->waitForAnswer());
+    BOOST_TEST(second->status() == "200");
+    BOOST_TEST(owner.requests().size() == 1U);
+    BOOST_TEST(heir.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnUploadThatWaitsForTheLinkIsNotSentToAServerThatSaysItLeaves)
+{
+    auto update = view();
+    update.isWhole = true;
+    std::erase_if(update.servers, [](auto const& row) { return row.server.number == 4; });
+    gateway.apply(update);
+    leaving.setScript([](auto const& request) {
+        return FakeServer::Reaction { answerTo(request, "200 OK", "", "Leaving: yes\r\n"),
+            FakeServer::Reaction::Then::Keep, 250ms };
+    });
+    auto const told = connect("/any/x", "0");
+    runFor(loop, 50ms);
+    auto const first = upload("/any/x", "1", 120'000);
+    auto const second = upload("/any/x", "2", 30'000);
+    Fleet::ViewUpdate change;
+    change.servers = { server(4, staying, unkeyed) };
+    gateway.apply(change);
+    BOOST_TEST(second->waitForAnswer());
+    BOOST_TEST(second->status() == "200");
+    BOOST_TEST(staying.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
