LibGateway: uploads that wait for the link are not sent to servers that leave

Cause: all bodies that are sent at a time shared the link by pieces of 8 KB. Each had begun to be sent to its server at once and took as long as all of them together, seconds on a narrow link, whatever was learned of the server meanwhile.

Nothing of a body that waits has been sent, so that it is taken back, and dispatched again without a repeat, when its server drains, leaves, says that it leaves, or no longer owns the key, or its domain is evacuated.

TestLibNet (57) and TestLibGateway (160) pass in the release build, TestLibNet and the cases on stops and leaving servers in the ASan build.

--- a/Libraries/LibGateway/Exchange.cpp
+++ b/Libraries/LibGateway/Exchange.cpp
@@ -416,8 +416,26 @@
 
 void Exchange::onServerSilent(Fleet::ServerNumber process)
 {
-    if (!connection_ || process_ != process || ServerConnections::hasBegunToSend(*connection_))
-        return;
+    if (waitsToBeSent() && process_ == process)
+        takeBack();
+}
+
+bool Exchange::waitsToBeSent() const { return connection_ && !ServerConnections::hasBegunToSend(*connection_); }
+
+bool Exchange::isServerStillChosen() const
+{
+    auto const* const server = gateway_.view_.findServer(server_);
+    auto const* const pool = gateway_.view_.findPool(pool_);
+    if (!server || !pool)
+        return false;
+    if (!pool->isKeyDivided)
+        return gateway_.mayServe(server->record);
+    auto const* const owner = gateway_.view_.findOwner(pool_, metadata_.key.value_or(0));
+    return owner && owner->server == server_;
+}
+
+void Exchange::takeBack()
+{
     endSend();
     gateway_.serverConnections_.abandon(std::exchange(connection_, nullptr));
     --sends_;
@@ -426,6 +444,10 @@
 
 void Exchange::onViewChanged()
 {
+    if (waitsToBeSent() && !isServerStillChosen()) {
+        takeBack();
+        return;
+    }
     if (!isWaiting_)
         return;
     auto const* const owner = gateway_.view_.findOwner(pool_, metadata_.key.value_or(0));
--- a/Libraries/LibGateway/Exchange.h
+++ b/Libraries/LibGateway/Exchange.h
@@ -18,7 +18,8 @@
     void start();
     /// Cancels the request after its caller has closed the connection.
     void abandon();
-    /// Looks up the owner again, if the request waits for one, after a change of the view.
+    /// Looks up the owner again, if the request waits for one, after a change of the view. Takes back the request if it
+    /// waits to be sent to a server that is not to get it any more.
     void onViewChanged();
     /// Limits the deadline of the request to this time. Refuses a request whose awaited owner is expected after it.
     void limitDeadline(Core::TimePoint);
@@ -80,6 +81,12 @@
     /// Waits for a change of owner until `latest`, then refuses. Refuses immediately if the owner is expected after the
     /// deadline.
     void waitForOwner(Core::TimePoint expectedAt, Core::TimePoint latest);
+    /// Whether nothing of the request has been sent to the server that was chosen for it.
+    bool waitsToBeSent() const;
+    /// Whether the server that was chosen for the request may still get it.
+    bool isServerStillChosen() const;
+    /// Dispatches a request again of which nothing has been sent.
+    void takeBack();
     void onNotRun(bool isMisdirected);
     /// The Retry-After time after a rejection by the owner of the key, from the load that it reported.
     Core::Duration ownerRetryAfter();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -106,7 +106,7 @@
         limits.idleTimeout = std::chrono::milliseconds(view_.limits().idleTimeoutMs);
         server_->setLimits(limits);
     }
-    if (update.ranges.rows.empty() && update.servers.empty())
+    if (update.ranges.rows.empty() && update.servers.empty() && update.removedServers.empty() && !update.evacuated)
         return;
     forEachExchange([](Exchange& exchange) { exchange.onViewChanged(); });
 }
@@ -280,8 +280,10 @@
         { "server", server.name.value },
         { "pool", server.pool.value },
     };
-    if (signals.isLeaving && recordedBackpressureOf(server).onLeaving(loop_.now()))
+    if (signals.isLeaving && recordedBackpressureOf(server).onLeaving(loop_.now())) {
         events_.write(Telemetry::EventId::ServerLeaving, fields);
+        forEachExchange([](Exchange& exchange) { exchange.onViewChanged(); });
+    }
     if (signals.isLeavingUnreadable && recordedBackpressureOf(server).isFirstUnreadableLeaving())
         events_.write(Telemetry::EventId::ServerLeavingUnreadable, fields);
 }
--- a/Libraries/LibGateway/LeaderConnection.cpp
+++ b/Libraries/LibGateway/LeaderConnection.cpp
@@ -120,7 +120,8 @@
 void LeaderConnection::connect(Core::Endpoint const& endpoint)
 {
     Net::FrameHandler& handler = *this;
-    attempts_.push_back({ endpoint, std::make_unique<Net::FrameChannel>(loop_, handler, endpoint), loop_.now() });
+    auto channel = std::make_unique<Net::FrameChannel>(loop_, handler, endpoint);
+    attempts_.push_back({ endpoint, std::move(channel), loop_.now() });
 }
 
 void LeaderConnection::onOpen(Net::FrameChannel& channel)
--- a/Libraries/LibNet/BulkPacer.cpp
+++ b/Libraries/LibNet/BulkPacer.cpp
@@ -30,18 +30,27 @@
     return std::chrono::duration_cast<Core::Duration>(time);
 }
 
-std::size_t BulkPacer::take(Core::TimePoint now, std::size_t wanted)
+std::size_t BulkPacer::take(Core::TimePoint now, BulkSender& sender, std::size_t wanted)
 {
     if (bytesPerSecond_ <= 0)
         return wanted;
-    isAwaited_ = now < freeAt_;
-    if (isAwaited_)
+    if (std::ranges::find(line_, &sender) == line_.end())
+        line_.push_back(&sender);
+    if (!hasTurn(sender) || now < freeAt_)
         return 0;
     auto const bytes = std::min(wanted, pieceBytes);
     freeAt_ = now + timeFor(bytes);
     return bytes;
 }
 
+void BulkPacer::leave(BulkSender& sender)
+{
+    auto const hadTurn = hasTurn(sender);
+    std::erase(line_, &sender);
+    if (hadTurn && !line_.empty())
+        line_.front()->onTurn();
+}
+
 void BulkPacer::countOther(Core::TimePoint now, std::size_t bytes)
 {
     if (bytesPerSecond_ <= 0)
@@ -51,7 +60,7 @@
     auto const counted = std::min(timeFor(bytes), otherAllowance_);
     otherAllowance_ -= counted;
     // Bodies that wait lose nothing of their part to the time between the end of their wait and their next piece.
-    freeAt_ = (isAwaited_ ? freeAt_ : std::max(freeAt_, now)) + counted;
+    freeAt_ = (line_.empty() ? std::max(freeAt_, now) : freeAt_) + counted;
 }
 
 } // namespace Net
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -68,6 +68,7 @@
 HttpClient::~HttpClient()
 {
     loop_.cancel(sendTimer_);
+    leaveLine();
     dropBody();
 }
 
@@ -104,9 +105,10 @@
     // The rest follows once the stream is drained, so that a large body is not held twice.
     while (stream_.isOpen() && waitingBytes() > 0 && stream_.pendingBytes() < maxPendingBytes) {
         auto const rest = waiting().substr(0, maxPendingBytes);
-        auto const count = pacer ? pacer->take(loop_.now(), rest.size()) : rest.size();
+        auto const count = pacer ? pacer->take(loop_.now(), *this, rest.size()) : rest.size();
         if (pacer && count == 0) {
-            sendTimer_ = loop_.after(pacer->nextAt() - loop_.now(), [this] { sendMore(); });
+            if (pacer->hasTurn(*this))
+                sendTimer_ = loop_.after(pacer->nextAt() - loop_.now(), [this] { sendMore(); });
             return;
         }
         if (!pacer && settings_.pacer)
@@ -114,10 +116,23 @@
         handedBytes_ += count;
         stream_.write(rest.substr(0, count));
     }
+    leaveLine();
     if (waitingBytes() == 0)
         dropRequest();
 }
 
+void HttpClient::onTurn()
+{
+    if (sendTimer_.number == 0)
+        sendTimer_ = loop_.after({}, [this] { sendMore(); });
+}
+
+void HttpClient::leaveLine()
+{
+    if (settings_.pacer)
+        settings_.pacer->leave(*this);
+}
+
 void HttpClient::dropRequest()
 {
     Core::releaseMemory(head_);
@@ -259,6 +274,7 @@
     if (!answer.head.keepsAlive || !stream_.input().isEmpty() || waitingBytes() > 0)
         isReusable_ = false;
     loop_.cancel(sendTimer_);
+    leaveLine();
     dropRequest();
     isBusy_ = false;
     lastUsed_ = loop_.now();
@@ -277,6 +293,7 @@
     isReusable_ = false;
     isBusy_ = false;
     loop_.cancel(sendTimer_);
+    leaveLine();
     dropBody();
     requestBody_.reset();
     stream_.close();
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -61,7 +61,7 @@
 };
 
 /// A connection to a server for one request at a time.
-class HttpClient final : private StreamHandler, public Reclaimable {
+class HttpClient final : private StreamHandler, private BulkSender, public Reclaimable {
 public:
     HttpClient(EventLoop&, HttpClientHandler&, Core::Endpoint const&, HttpClientSettings const&);
     ~HttpClient() override;
@@ -86,6 +86,7 @@
     void onData(Stream&) override;
     void onDrained(Stream&) override;
     void onEnd(Stream&, StreamEnd) override;
+    void onTurn() override;
     void settle();
     /// Bytes of the request that were not handed to the stream.
     std::size_t waitingBytes() const;
@@ -96,6 +97,8 @@
     bool readAnswer();
     /// False when more input is needed or the exchange has failed.
     bool readHead();
+    /// Ends the turn of a large body, and the wait for it.
+    void leaveLine();
     void dropRequest();
     /// Keeps a piece of the body. False if the exchange has failed.
     bool keep(std::string_view piece);
--- a/Tests/LibNet/TestBulkPacer.cpp
+++ b/Tests/LibNet/TestBulkPacer.cpp
@@ -8,6 +8,12 @@
 namespace {
 
 Core::TimePoint const start { 1000s };
+struct Sender final : BulkSender {
+    void onTurn() override { ++turns; }
+
+    int turns { 0 };
+};
+
 /// A link of 5.3 Mbit/s.
 constexpr double linkRate = 5.3e6 / 8;
 
@@ -27,7 +33,7 @@
                 queued += messageBytes;
                 mostQueued = std::max(mostQueued, queued);
             }
-            while (auto const bytes = pacer.take(now, 1'000'000)) {
+            while (auto const bytes = pacer.take(now, sender, 1'000'000)) {
                 bodyBytes += bytes;
                 queued += static_cast<double>(bytes);
                 mostQueued = std::max(mostQueued, queued);
@@ -36,6 +42,7 @@
     }
 
     BulkPacer pacer { linkRate };
+    Sender sender;
     Core::TimePoint now { start };
     std::size_t bodyBytes { 0 };
     double queued { 0 };
@@ -49,12 +56,13 @@
     // Three uploads of 60 KB are there at once. Handed over whole they hold up the next small answer for 270 ms.
     constexpr std::size_t bodyBytes = 60'000;
     BulkPacer pacer(linkRate);
+    Sender sender;
     std::size_t left = 3 * bodyBytes;
     double queued = 0;
     double mostQueued = 0;
     auto now = start;
     while (left > 0 && now < start + 5s) {
-        while (auto const bytes = pacer.take(now, left)) {
+        while (auto const bytes = pacer.take(now, sender, left)) {
             left -= bytes;
             queued += static_cast<double>(bytes);
         }
@@ -95,10 +103,33 @@
     BOOST_TEST((pacer.nextAt() <= now + 200ms));
 }
 
+BOOST_AUTO_TEST_CASE(BodiesAreSentOneAfterTheOther)
+{
+    BulkPacer pacer(linkRate);
+    Sender first;
+    Sender second;
+    Sender third;
+    BOOST_TEST(pacer.take(start, first, 60'000) > 0U);
+    // The link has taken the first piece by then.
+    auto const later = start + 1s;
+    BOOST_TEST(pacer.take(later, second, 60'000) == 0U);
+    BOOST_TEST(pacer.take(later, third, 60'000) == 0U);
+    BOOST_TEST(pacer.take(later, first, 60'000) > 0U);
+    pacer.leave(second);
+    BOOST_TEST(third.turns == 0);
+    pacer.leave(first);
+    BOOST_TEST(third.turns == 1);
+    BOOST_TEST(second.turns == 0);
+    BOOST_TEST(pacer.take(later, third, 60'000) == 0U);
+    BOOST_TEST(pacer.take(pacer.nextAt(), third, 60'000) > 0U);
+    pacer.leave(third);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutARateNothingIsHeldUp)
 {
     BulkPacer pacer;
+    Sender sender;
     pacer.countOther(start, 1'000'000);
-    BOOST_TEST(pacer.take(start, 1'000'000) == 1'000'000U);
-    BOOST_TEST(pacer.take(start, 1'000'000) == 1'000'000U);
+    BOOST_TEST(pacer.take(start, sender, 1'000'000) == 1'000'000U);
+    BOOST_TEST(pacer.take(start, sender, 1'000'000) == 1'000'000U);
 }
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -233,8 +233,11 @@
     EarlyServer server(loop);
     AnswerReceiver receiver;
     BulkPacer pacer(1e6);
-    // Bodies of other connections have taken the link for the next 8 ms.
-    pacer.take(loop.now(), 100'000);
+    // The body of another connection has taken the link for the next 8 ms, and keeps its turn.
+    struct : BulkSender {
+        void onTurn() override { }
+    } other;
+    pacer.take(loop.now(), other, 100'000);
     HttpClientSettings settings;
     settings.pacer = &pacer;
     HttpClient client(loop, receiver, server.address, settings);
